Close peers that hand nothing in, and let rested ones make room in a full table

Peers that pinged and then rested were never closed and filled the table of connections; others waited in the backlog.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -68,7 +68,8 @@
   boost::asio::io_context io(1);
   Journal journal(c.state, c.disk_bytes);
   const tcp::endpoint agent = parseAddress(c.discovery);
-  // Descriptors: the calls out, then half of the rest for clients, a quarter for idle connections.
+  // Descriptors: the calls out, then three quarters of the rest for clients, which a crowd that never hands
+  // anything in must not fill, and a quarter for idle connections.
   const std::int64_t left = c.sockets - kSpareSockets - c.settings.slots;
   if (left < 8) bad("limits.sockets is too small");
   Host* to_host = nullptr;
@@ -80,7 +81,7 @@
   host.recover(c.known);
   Watcher watcher(Agent(io, agent, c.discovery), [&](const json& answer) { return host.list(answer); });
   watcher.start(host.version());
-  Clients clients(io, parseAddress(c.listen), static_cast<std::size_t>(left / 2),
+  Clients clients(io, parseAddress(c.listen), static_cast<std::size_t>(left - left / 4),
                   [&](Clients::Put p, Clients::Reply r) { host.put(std::move(p), std::move(r)); });
 
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <cstdlib>
 #include <vector>
 
@@ -17,6 +18,11 @@
 namespace {
 
 constexpr std::size_t kDiscard = 1u << 20;  // of a malformed request's rest
+// What a peer may take. The platform wants one that sends no proper request answered or closed within 3 s of
+// connecting, lets a connection with none open be closed after 2 s, and a client gives one up after 0.4 s.
+constexpr std::chrono::milliseconds kFirstMessage{2000}, kRestOfRequest{1000}, kTakesReply{1000};
+// When the table is full: who rests longest makes room, sooner if it never handed in a message.
+constexpr std::chrono::milliseconds kRested{2000}, kRestedIdler{500}, kLookForRoom{20};
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
 
 bool wholeNumber(const std::string& s, std::int64_t& out) {
@@ -73,13 +79,32 @@
 }  // namespace
 
 struct Clients::Session : std::enable_shared_from_this<Session> {
-  Session(Clients& c, tcp::socket s) : clients(c), socket(std::move(s)) {}
+  Session(Clients& c, tcp::socket s) : clients(c), socket(std::move(s)), patience(socket.get_executor()) {}
 
   Clients& clients;
   tcp::socket socket;
+  asio::steady_timer patience;  // with a peer that owes the rest of a request, or must take its reply
   std::string in, out;
   char piece[16384];
-  bool busy = false, closing = false, open = true;
+  bool busy = false, closing = false, open = true, limited = false, begun = false, served = false;
+  std::chrono::steady_clock::time_point since = std::chrono::steady_clock::now();  // of its rest
+
+  void start() {
+    limit(kFirstMessage);
+    read();
+  }
+
+  void limit(std::chrono::milliseconds span) {
+    limited = true;
+    patience.expires_after(span);
+    patience.async_wait([self = shared_from_this()](error_code e) {
+      if (!e && self->limited) self->close();
+    });
+  }
+  void unlimit() {
+    limited = false;
+    patience.cancel();
+  }
 
   void read() {
     socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](error_code e, std::size_t n) {
@@ -97,6 +122,10 @@
     std::string error;
     switch (parseRequest(in, words, used, error)) {
       case Parsed::partial:
+        // Not prolonged by what drips in meanwhile, nor by a request begun late.
+        if (!begun && (!limited || patience.expiry() > std::chrono::steady_clock::now() + kRestOfRequest))
+          limit(kRestOfRequest);
+        begun = true;
         return read();
       case Parsed::malformed:
         closing = true;
@@ -104,6 +133,8 @@
       case Parsed::whole:
         break;
     }
+    unlimit();
+    begun = false;
     in.erase(0, used);
     const std::string command = upper(words[0]);
     if (command == "PING") return answer(words.size() > 1 ? "-ERR wrong number of arguments" : "+PONG");
@@ -116,7 +147,7 @@
     if (put.message.id.empty() || !plain(put.message.id)) return answer("-ERR malformed id");
     if (const char* wrong = readFields(words[3], put)) return answer(std::string("-ERR ") + wrong);
     if (!plain(put.message.idempotency_key)) return answer("-ERR malformed k");
-    busy = true;
+    busy = served = true;
     ++clients.unanswered_;
     clients.on_put_(std::move(put), [self = shared_from_this()](const std::string& reply) {
       self->busy = false;
@@ -128,10 +159,14 @@
   void answer(const std::string& reply) {
     out = reply + "\r\n";
     busy = true;
+    limit(kTakesReply);
     asio::async_write(socket, asio::buffer(out), [self = shared_from_this()](error_code e, std::size_t) {
       if (!self->open) return;
       self->busy = false;
-      if (!e && self->closing) return self->hangUp();
+      if (!e && self->closing) return self->hangUp();  // the limit covers what is discarded, too
+      self->unlimit();
+      self->since = std::chrono::steady_clock::now();
+      if (!self->served) self->limit(kFirstMessage);
       if (e || (self->clients.draining_ && self->in.empty() && self->socket.available(e) == 0))
         return self->close();
       self->in.empty() ? self->read() : self->next();
@@ -158,6 +193,7 @@
   void close() {
     if (!open) return;
     open = false;
+    patience.cancel();
     error_code ignored;
     socket.shutdown(tcp::socket::shutdown_both, ignored);
     socket.close(ignored);
@@ -178,6 +214,7 @@
   const auto all = sessions_;
   for (const auto& s : all) {
     s->open = false;
+    s->patience.cancel();
     error_code ignored;
     s->socket.close(ignored);
   }
@@ -188,7 +225,15 @@
 // No more connections than there is room for: the others wait in the backlog. Guards against running out of
 // descriptors, which the calls to endpoints need too.
 void Clients::accept() {
-  if (accepting_ || sessions_.size() >= most_) return;
+  if (accepting_) return;
+  if (sessions_.size() >= most_) {
+    if (makeRoom()) return;  // its end accepts the next
+    pause_.expires_after(kLookForRoom);
+    pause_.async_wait([this](error_code stopped) {
+      if (!stopped) accept();
+    });
+    return;
+  }
   accepting_ = true;
   acceptor_.async_accept([this](error_code e, tcp::socket s) {
     accepting_ = false;
@@ -204,11 +249,25 @@
     s.set_option(tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(*this, std::move(s));
     sessions_.insert(session);
-    session->read();
+    session->start();
     accept();
   });
 }
 
+// Guards against peers that fill the table and rest, while clients wait in the backlog.
+bool Clients::makeRoom() {
+  const auto now = std::chrono::steady_clock::now();
+  std::shared_ptr<Session> longest;
+  for (const auto& s : sessions_) {
+    error_code e;
+    const bool rests = !s->busy && s->in.empty() && now - s->since >= (s->served ? kRested : kRestedIdler);
+    if (!rests || (longest && longest->since <= s->since) || s->socket.available(e) > 0) continue;
+    longest = s;
+  }
+  if (longest) longest->close();
+  return longest != nullptr;
+}
+
 void Clients::ended(const std::shared_ptr<Session>& s) {
   sessions_.erase(s);
   accept();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -38,6 +38,7 @@
  private:
   struct Session;
   void accept();
+  bool makeRoom();
   void ended(const std::shared_ptr<Session>& s);
 
   boost::asio::io_context& io_;
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -343,6 +343,14 @@
     }
   }
   bool ended() { return line().empty(); }
+  // The other side ends the connection, and not just nothing comes for long.
+  bool closed() {
+    pollfd p{fd_, POLLIN, 0};
+    char piece[1024];
+    while (::poll(&p, 1, static_cast<int>(std::chrono::milliseconds(kLong).count())) > 0)
+      if (::recv(fd_, piece, sizeof piece, 0) <= 0) return true;
+    return false;
+  }
   static std::string request(const std::vector<std::string>& words) {
     std::string out = "*" + std::to_string(words.size()) + "\r\n";
     for (const auto& w : words) out += "$" + std::to_string(w.size()) + "\r\n" + w + "\r\n";
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -54,6 +54,49 @@
   EXPECT_EQ("+OK", c.put("fine", "order", 7));
 }
 
+// Peers that never send a whole request, in a stretch or in drops, or none that hands in a message, hold no
+// descriptor for long; a client that rests between messages does.
+TEST(SenderProgram, SilentAndHalfSendingPeersAreClosed) {
+  Fleet f(deliver);
+  Client resting(f.program.port());
+  EXPECT_EQ("+OK", resting.put("first", "order", 7));
+  Client silent(f.program.port()), idle(f.program.port()), half(f.program.port()), later(f.program.port());
+  EXPECT_EQ("+PONG", idle.ask({"PING"}));
+  half.send("*5\r\n$7\r\nMSG.PUT\r\n$16\r\n0000");
+  EXPECT_EQ("+PONG", later.ask({"PING"}));
+  later.send("*5\r\n$7\r\nMSG");
+  std::atomic<bool> stop{false};
+  Client dripping(f.program.port());
+  std::thread drops([&] {
+    dripping.send("*5\r\n$7\r\nMSG.PUT\r\n$60000\r\n");
+    while (!stop) {
+      dripping.send("0");
+      std::this_thread::sleep_for(5ms);
+    }
+  });
+  EXPECT_TRUE(later.closed());
+  EXPECT_TRUE(silent.closed());
+  EXPECT_TRUE(idle.closed());
+  EXPECT_TRUE(half.closed());
+  EXPECT_TRUE(dripping.closed());
+  stop = true;
+  drops.join();
+  EXPECT_EQ("+OK", resting.put("fine", "order", 7));
+}
+
+// More peers than the table holds ping and rest: a client that comes after them is served all the same.
+TEST(SenderProgram, ACrowdOfRestingPeersMakesRoomForClients) {
+  Fleet f(deliver);
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int i = 0; i < 800; ++i) {
+    crowd.push_back(std::make_unique<Client>(f.program.port()));
+    ASSERT_TRUE(crowd.back()->connected());
+    crowd.back()->send(Client::request({"PING"}));
+  }
+  Client c(f.program.port());
+  EXPECT_EQ("+OK", c.put("fine", "order", 7));
+}
+
 TEST(SenderProgram, ABadConfigurationIsOneLineAndAStatus) {
   TempFolder t;
   for (const std::string& text : {std::string("{"), std::string("{}"), std::string("[1]"),
