--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -55,12 +55,10 @@
   WeightKind weights = WeightKind::none;
   ListMode list = ListMode::push;
   int senders = 1;   // how many senders share the destinations
-  int position = 0;  // this one's number
   int slots = 1;     // calls out at once
   int max_open = 1;  // messages held, sent or not
   int max_attempts = 1;
   bool may_cancel = false;
-  bool may_probe = false;
   bool may_copy = false;    // two attempts of a message out at once
   bool told_pause = false;  // does a client hear Refuse::pause?
   Micros tick = 0;          // shortest gap between two calls of decide
@@ -76,7 +74,6 @@
   double cold_share = 1;       // share of capacity right after an outage
   double overload_factor = 1;  // times present capacity that makes it fall
   double over_share_worth = 1;
-  double price_refused = 0, price_waste = 0, price_handshake = 0, price_probe = 0, price_late = 0;
 };
 
 enum class EndpointState { ready, draining, gone };
@@ -143,20 +140,13 @@
   Micros rtt = 0;
   std::optional<LimitReport> report;
 };
-struct Probed {
-  std::string endpoint;
-  Result result = Result::ok;
-  Micros rtt = 0;
-  std::optional<LimitReport> report;
-};
 enum class ListKind { delta, full, cached, failed };
 struct ListUpdate {
   ListKind kind = ListKind::full;
   std::vector<Endpoint> endpoints;
 };
 struct Wake {};
-using Event =
-    std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, Probed, ListUpdate, Wake>;
+using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, ListUpdate, Wake>;
 
 // ---- actions
 struct Send {
@@ -174,18 +164,14 @@
 struct Fail {
   std::string id;
 };  // final: no such promise
-struct Probe {
-  std::string endpoint;
-};
 struct Watch {};  // subscribe to membership changes
-struct Fetch {};  // ask for the whole list once
 struct CloseIdle {
   std::string endpoint;
 };
 struct WakeIn {
   Micros span = 0;
 };
-using Action = std::variant<Send, Cancel, Refuse, Fail, Probe, Watch, Fetch, CloseIdle, WakeIn, Ailment>;
+using Action = std::variant<Send, Cancel, Refuse, Fail, Watch, CloseIdle, WakeIn, Ailment>;
 
 class Sender {
  public:
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -927,12 +927,6 @@
   void on(const Outcome& e) { onOutcome(e); }
   void on(const ListUpdate& e) { onList(e); }
   void on(const Wake&) {}
-  void on(const Probed& e) {
-    auto it = servers.find(e.endpoint);
-    if (it == servers.end()) return;
-    learnLimit(it->second, e.report);
-    learn(it->second, e.result, e.rtt, 0);
-  }
   void on(const Started& e) {
     auto it = messages.find(e.id);
     if (it != messages.end()) it->second.streaming = true;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -29,7 +29,6 @@
   s.slots = static_cast<int>(number(d, "CallSlots", 1));
   s.late = oneOf<LateRule>(text(d, "Late", "line"), {{"line", LateRule::line}, {"halves", LateRule::halves}},
                            "Late");
-  s.price_refused = number(d, "RefusalCost", 0);
   if (!absent(d, "ZoneFee"))
     for (const json& z : array(d, "ZoneFee")) s.zone_fee.push_back(z.is_number() ? z.get<double>() : 0);
   if (!absent(o, "Kinds"))
@@ -48,7 +47,6 @@
   s.max_open = static_cast<int>(number(c, "MaxOpen", 20000));
   s.max_attempts = static_cast<int>(number(c, "MaxAttempts", 1));
   s.may_cancel = truth(c, "MayCancel", false);
-  s.may_probe = truth(c, "Probes", false);
   s.may_copy = truth(c, "ParallelTries", false);
   s.told_pause = truth(c, "RetryAfter", false);
   s.dial_timeout = span(c, "DialTimeoutMs", 0);
@@ -63,11 +61,6 @@
   s.order_pause = span(r, "OrderPauseMs", 0);
   s.cold_share = number(r, "ColdShare", 1);
   s.overload_factor = number(r, "OverloadFactor", 1);
-  const json& f = optionalObject(o, "Fees");
-  s.price_waste = number(f, "Waste", 0);
-  s.price_handshake = number(f, "Handshake", 0);
-  s.price_probe = number(f, "Probe", 0);
-  s.price_late = number(f, "LateFail", 0);
 }
 
 }  // namespace
@@ -89,7 +82,6 @@
   s.list = oneOf<ListMode>(text(o, "Discovery", "push"), {{"push", ListMode::push}, {"ask", ListMode::ask}},
                            "Discovery");
   s.senders = static_cast<int>(number(o, "Balancers", 1));
-  s.position = static_cast<int>(number(o, "Position", 0));
   s.tick = span(o, "TickMs", 0);
   s.over_share_worth = number(o, "OverShareWorth", 1);
   readDomain(o, s);
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -79,7 +79,7 @@
       integer(f, "Label");
       i.events.push_back(Wake{});
     } else if (name == "CheckResult") {
-      i.events.push_back(Probed{text(f, "Endpoint"), readResult(f), span(f, "RttMs"), gauge(i, f)});
+      readResult(f);  // the module never probes, so there is nobody to tell
     } else if (name == "Established") {
       i.events.push_back(Started{text(f, "OpId"), static_cast<int>(integer(f, "Attempt"))});
     } else if (name == "Left") {
@@ -207,10 +207,8 @@
         return {{"Decline", {{"Who", who}, {"OpId", a.id}, {"CoolDownMs", toMs(a.pause)}}}};
       }
       json operator()(const Fail& a) const { return {{"FinishError", {{"Who", who}, {"OpId", a.id}}}}; }
-      json operator()(const Probe& a) const { return {{"Poll", {{"Who", who}, {"Endpoint", a.endpoint}}}}; }
       json operator()(const Ailment&) const { return nullptr; }  // here nothing outlasts a process
       json operator()(const grademux::Watch&) const { return {{"Watch", {{"Who", who}, {"Active", true}}}}; }
-      json operator()(const Fetch&) const { return {{"Fetch", {{"Who", who}}}}; }
       json operator()(const CloseIdle& a) const {
         return {{"Disconnect", {{"Who", who}, {"Endpoint", a.endpoint}}}};
       }
