--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -23,6 +23,7 @@
 constexpr double kShareCut = 0.75;     // this sender's part of a limit after a refusal ...
 constexpr double kShareFloor = 0.5;    // ... but at least this much of a portion
 constexpr double kShareGrowth = 0.05;  // and it grows by so much of a portion each FallMs without one
+constexpr double kRegain = 0.02;       // a learned limit grows by so much of itself with each call served
 constexpr double kRare = 0.05;         // of a limit: with less traffic there a sender is one of many
 constexpr double kStretchMost = 4;     // refusals in a row stretch the gap up to so many times
 constexpr double kTrialGap = 0.25;     // of FallMs: trials of a dead destination are stretched up to this gap
@@ -192,7 +193,7 @@
     double rate = 1e12;
     if (g.limit > 0) {
       const double spans = static_cast<double>(now - g.part_at) / fallSpan();
-      g.part = std::min(g.told ? 1.0 : 1e3, g.part + kShareGrowth * portion(g.limit, own) * spans);
+      if (!g.learned) g.part = std::min(1.0, g.part + kShareGrowth * portion(g.limit, own) * spans);
       g.part_at = now;
       rate = g.limit * g.part;
     }
@@ -205,7 +206,7 @@
   double coldRate(const Guard& g, double limit, double own) const {
     const double warmth = std::min(1.0, static_cast<double>(now - g.cold_since) / kSecond / trafficSpan());
     const double share = set.cold_share + (1 - set.cold_share) * (g.down ? 0 : warmth);
-    if (limit > 0) own = limit * portion(limit, own);
+    if (limit > 0 && !g.learned) own = limit * portion(limit, own);
     return std::max(own, 1 / trafficSpan()) * share * set.overload_factor;
   }
 
@@ -217,10 +218,18 @@
 
   double fallSpan() const { return static_cast<double>(std::max<Micros>(1, set.fall_span)); }
   double trafficSpan() const { return static_cast<double>(std::max<Micros>(1, set.ramp_time)) / kSecond; }
-  double perSecond(const Rate& r) const {
-    return r.rate * std::exp(-static_cast<double>(now - r.at) / kSecond / trafficSpan());
+  double perSecond(const Rate& r) const { return r.rate * decay(now - r.at) / seen(r); }
+  double decay(Micros t) const { return std::exp(-static_cast<double>(t) / kSecond / trafficSpan()); }
+  // The part of the span that has been seen: without it all rates start from nothing for RampTimeMs. Not for
+  // one of many, to which a few messages are no stream.
+  double seen(const Rate& r) const {
+    return many() ? 1 : 1 - decay(std::max(now - r.since, set.fall_span + 1));
+  }
+  void count(Rate& r) {
+    if (r.since < 0) r.since = now;
+    r.rate = r.rate * decay(now - r.at) + 1 / trafficSpan();
+    r.at = now;
   }
-  void count(Rate& r) { r = {perSecond(r) + 1 / trafficSpan(), now}; }
 
   bool many() const { return kRare * set.senders > 1; }
 
@@ -250,7 +259,6 @@
     double gap = kSecond / rate;
     if (g.down) gap = std::max(gap, std::min(kTrialGap * fallSpan(), gap * g.streak));
     g.u = std::clamp(g.u, t - burst, t) + gap;  // a call that passed the pacing leaves no debt
-    count(g.sent);
   }
 
   void learnLimit(Server& s, const std::optional<LimitReport>& report) {
@@ -258,21 +266,28 @@
     Guard& g = scope(s);
     g.limit = g.told ? 0.75 * g.limit + 0.25 * report->limit : report->limit;
     g.told = true;
+    g.learned = false;
   }
 
   // Refused: take a smaller part. Guards against many that each think theirs harmless, and untold limits.
   void refusedAt(Server& s, bool told_wait) {
     Guard& g = scope(s);
     const double own = perSecond(s.dest->traffic) / (apart(s) ? readyServers(*s.dest) : 1);
-    if (g.limit <= 0) {
-      // Nobody told one: start from what was sent, or from one call at a time.
-      g.limit = std::max(perSecond(g.sent), kSecond / std::max(1.0, g.samples > 0 ? g.usual : least_aim));
+    const bool unknown = g.limit <= 0;
+    if (unknown) {  // nobody told one: start from what was served, or from one call at a time
+      g.learned = true;
       g.part = 1;
+      g.limit = std::max(perSecond(g.served), kSecond / std::max(1.0, g.samples > 0 ? g.usual : least_aim));
+      g.part_at = now;
     }
     const double gap = std::min<double>(kStretchMost, g.refused) * kSecond / rateOf(g, g.limit, own);
-    if (now - g.cut_at > set.fall_span / 4) {
-      const double most = std::min(g.part, kShareStart * portion(g.limit, perSecond(g.sent)));
-      g.part = std::max(kShareFloor * portion(g.limit, own), most * kShareCut);
+    if (!unknown && now - g.cut_at > set.fall_span / 4) {
+      if (g.learned) {
+        g.limit = std::max(perSecond(g.served), kShareCut * g.limit);
+      } else {
+        const double most = std::min(g.part, kShareStart * portion(g.limit, perSecond(g.served)));
+        g.part = std::max(kShareFloor * portion(g.limit, own), most * kShareCut);
+      }
       g.cut_at = now;
     }
     if (!told_wait) g.u = std::max(g.u, static_cast<double>(now) + gap);
@@ -389,6 +404,9 @@
       if (!g) continue;
       if (r == Result::ok || r == Result::timeout) noteLatency(*g, static_cast<double>(rtt), r == Result::ok);
       noteOutcome(*g, r, hard);
+      if (r == Result::full) continue;
+      count(g->served);
+      if (g->learned) g->limit = std::min(1e9, g->limit * (1 + kRegain));
       if (many() && hard && g->down) g->u = std::max(g->u, static_cast<double>(now) + comeBack(*g, *s.dest));
     }
     if (r == Result::full) {
--- a/src/state.h
+++ b/src/state.h
@@ -20,17 +20,18 @@
 
 struct Rate {  // events a second, decayed, as of a moment
   double rate = 0;
-  Micros at = 0;
+  Micros at = 0, since = -1;
 };
 
 struct Guard {       // upper bound and health of a destination, a route, or one endpoint of a destination
-  double limit = 0;  // calls a second from all senders: told, listed or learned; 0: none known
+  double limit = 0;  // calls a second from all senders, told or listed; 0: none known
   bool told = false;
-  double part = 1;  // of the limit that this sender takes
+  bool learned = false;  // the limit is a guess from refusals, and of this sender's calls alone
+  double part = 1;       // of the limit that this sender takes
   Micros part_at = 0, cut_at = -kNever;
   double u = 0;                  // the paper's upper-bound tag
   Micros wait_until = 0;         // told to wait
-  Rate sent;                     // own calls
+  Rate served;                   // own calls that were not refused
   double usual = 0, recent = 1;  // latency in micros; recent one over usual
   int samples = 0;
   double failed = 0, risk = 0;  // shares of late outcomes: failed, ended in the unknown
--- a/tests/bound_test.cpp
+++ b/tests/bound_test.cpp
@@ -72,6 +72,40 @@
   EXPECT_LT(count(true), count(false));
 }
 
+// A destination that takes all it is sent but for a moment, in which it refuses; ten messages a second.
+// Answers how many seconds' worth of them wait a few seconds later.
+double backlogAfterRefusals(Micros from, Micros until) {
+  Settings s = makeSettings();
+  s.senders = 2;
+  s.slots = 50;
+  Rig r(s);
+  r.list({makeEndpoint("e1", 1), makeEndpoint("e2", 1)});
+  std::map<std::string, int> tries;
+  std::vector<std::string> out;
+  std::size_t arrived = 0, served = 0;
+  for (Micros t = 0; t < until + 5 * kS; t += 50 * kMs) {
+    std::vector<Event> events;
+    r.at(t);
+    const bool refuses = t >= from && t < until;
+    for (const auto& id : out)
+      events.push_back(r.outcome(id, tries[id]++, refuses ? Result::full : Result::ok));
+    if (!refuses) served += out.size();
+    if (t % (100 * kMs) == 0) events.push_back(r.arrival("m" + std::to_string(arrived++), "safe", 1));
+    events.push_back(Wake{});
+    out = r.run(events);
+  }
+  return static_cast<double>(arrived - served) / 10;
+}
+
+// ticket4185: rates counted from nothing, so a refusal in the first seconds set a limit far below what had
+// just been served, and it regained a twentieth of a portion in FallMs: hundreds waited with most slots free.
+TEST(Bound, ALearnedLimitIsWhatWasServedAlsoInTheFirstSeconds) {
+  EXPECT_LT(backlogAfterRefusals(2 * kS, 2 * kS + 100 * kMs), 0.5);
+}
+TEST(Bound, ALearnedLimitIsRegainedAfterManyRefusals) {
+  EXPECT_LT(backlogAfterRefusals(15 * kS, 15 * kS + 900 * kMs), 0.5);
+}
+
 // "Floor plus every spare slot" (an objection to the design): a told limit caps due local tags as well.
 TEST(Bound, AToldLimitCapsFloorAndSpareSlots) {
   Settings s = makeSettings();
