--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,6 +1,5 @@
 // grademux: THE decision module. Its interface stands in include/grademux/sender.h.
-// The design is RBFQ of "RePAIR" (dual real-time tags); docs/design.md lists what was kept and what was
-// added. Sections: 1 tags, 2 upper bound, 3 health, 4 attempts, 5 admission, 6 membership, then the turn.
+// The design is RBFQ of "RePAIR" (dual real-time tags). Sections: 1 tags, 2 upper bound, 3 health, 4 attempts, 5 admission, 6 membership, then the turn.
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -537,6 +536,8 @@
       d.lost_idle = idled;  // a lost fresh call clears the suspicion: the destination itself hangs
       return;
     }
+    // Guards against slow calls that were called off and pass for a sign: handshakes would slow all the rest.
+    if (idled >= dead_least) dead_score = 0, dead_least = kNever;
     if (d.lost_idle < 0 || (idled >= 0 && idled < d.lost_idle)) return;
     if (idled < 0) {
       dead_score *= std::exp(-static_cast<double>(now - dead_at) / static_cast<double>(set.ramp_time + 1));
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -41,6 +41,40 @@
   EXPECT_EQ(r.got<CloseIdle>()[0].endpoint, "e6");
 }
 
+// ticket5282: slow calls that were called off or timed out on connections that had just been in use passed
+// for the same signs, and all idle connections were closed before each call. Answers on connections that had
+// idled as long, or longer, show that idling does not kill them.
+TEST(Health, LostCallsAreNoSignOfDeadConnectionsWhereOthersThatIdledLongerAnswer) {
+  Settings s = makeSettings();
+  s.conn_idle = 60 * kS;
+  Rig r(s);
+  std::vector<Endpoint> all;
+  for (int d = 1; d <= 6; ++d) all.push_back(makeEndpoint("e" + std::to_string(d), d));
+  r.list(all);
+  Micros t = 0;
+  int n = 0;
+  std::size_t closed = 0;
+  auto call = [&](int d, Result result, Micros rtt) {
+    const std::string id = "m" + std::to_string(n++);
+    r.at(t).arrive(id, "safe", d);
+    closed += r.got<CloseIdle>().size();
+    r.at(t + rtt).wake();
+    r.at(t + rtt + 1).end(id, 0, result, rtt);
+    t += rtt + 10 * kMs;
+  };
+  for (int round = 0; round < 8; ++round) {
+    for (int d = 1; d <= 6; ++d) call(d, Result::ok, 100 * kMs);
+    if (round < 3) continue;
+    call(6, Result::timeout, 900 * kMs);  // on the connection used 10 ms ago
+    std::vector<std::string> sent;
+    while (sent.empty()) sent = r.at(t += 50 * kMs).wake();
+    r.at(t += 100 * kMs).end(sent[0], 1, Result::ok);  // its further try, on a fresh one
+    t += 10 * kMs;
+  }
+  call(5, Result::ok, 100 * kMs);
+  EXPECT_EQ(closed, 0u);
+}
+
 // i0e42b8: the same among many senders, that see each endpoint too rarely for the signs to meet there: a call
 // lost on one endpoint's reused connection and the next answered on another's fresh one is a sign as well.
 TEST(Health, SignsOfDeadIdleConnectionsMeetByDestination) {
