--- a/src/main.cpp
+++ b/src/main.cpp
@@ -41,18 +41,26 @@
   return std::stoull(hex, nullptr, 16);
 }
 
-Config readConfig() {
+json readFile() {
   const std::string path = variable("GW_CONFIG", "");
   if (path.empty()) bad("GW_CONFIG is not set");
   std::ifstream file(path);
   if (!file) bad("can't be read: " + path);
   std::stringstream all;
   all << file.rdbuf();
-  const json o = json::parse(all.str(), nullptr, false);
+  json o = json::parse(all.str(), nullptr, false);
   if (!o.is_object()) bad("not a JSON object: " + path);
+  return o;
+}
+
+// The file's address first: it may have been replaced since the environment was made.
+std::string discoveryOf(const json& o) { return text(o, "discovery", variable("GW_DISCOVERY", "").c_str()); }
+
+Config readConfig() {
+  const json o = readFile();
   Config c;
   c.listen = variable("GW_LISTEN", text(o, "listen", ""));
-  c.discovery = variable("GW_DISCOVERY", text(o, "discovery", ""));
+  c.discovery = discoveryOf(o);
   c.state = variable("GW_STATE", "");
   if (c.state.empty()) bad("GW_STATE is not set");
   c.seed = seedOf(o);
@@ -105,6 +113,26 @@
     host.stopAt(stop_from + kStopAfter);
     lookAgain();
   });
+  boost::asio::signal_set reload(io, SIGHUP);
+  std::string discovery = c.discovery;
+  std::function<void()> awaitReload = [&] {
+    reload.async_wait([&](const boost::system::error_code& e, int) {
+      if (e) return;
+      awaitReload();
+      try {
+        const std::string named = discoveryOf(readFile());
+        const tcp::endpoint peer = parseAddress(named);
+        if (named == discovery) return;
+        watcher.moveTo(peer, named);
+        notices.moveTo(peer, named);
+        discovery = named;
+        std::cerr << "discovery is now at " << named << '\n';
+      } catch (const std::exception& bad_file) {  // the one in force stays
+        std::cerr << "reload: " << bad_file.what() << '\n';
+      }
+    });
+  };
+  awaitReload();
   std::cerr << "ready\n";
   io.run();
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -79,6 +79,18 @@
   });
 }
 
+void Agent::moveTo(tcp::endpoint peer, std::string host) {
+  connection_.reset();
+  timer_.cancel();
+  peer_ = std::move(peer);
+  host_ = std::move(host);
+}
+
+void Watcher::moveTo(tcp::endpoint peer, std::string host) {
+  agent_.moveTo(std::move(peer), std::move(host));
+  start(-1);
+}
+
 void Watcher::start(std::int64_t from) {
   from_ = from;
   ask();
@@ -110,6 +122,13 @@
   if (out_ == 0 && !waiting_) send();
 }
 
+void Notices::moveTo(tcp::endpoint peer, std::string host) {
+  agent_.moveTo(std::move(peer), std::move(host));
+  out_ = 0;  // told once more: that does no harm
+  waiting_ = false;
+  send();
+}
+
 void Notices::send() {
   if (owed_.empty()) return;
   out_ = std::min(owed_.size(), most_);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -42,6 +42,7 @@
   Agent(boost::asio::io_context& io, tcp::endpoint peer, std::string host);
   void ask(HttpRequest request, Micros limit, HttpConnection::Done done);
   void later(Micros pause, std::function<void()> then);  // drops the connection, goes on after the pause
+  void moveTo(tcp::endpoint peer, std::string host);     // what is under way is called off and never answered
 
  private:
   boost::asio::io_context& io_;
@@ -56,6 +57,7 @@
   using OnAnswer = std::function<std::int64_t(const json&)>;  // answers the version from which to go on
   Watcher(Agent agent, OnAnswer on_answer) : agent_(std::move(agent)), on_answer_(std::move(on_answer)) {}
   void start(std::int64_t from);
+  void moveTo(tcp::endpoint peer, std::string host);  // asks there for the whole list, then watches
 
  private:
   void ask();
@@ -71,6 +73,7 @@
   using OnTold = std::function<void(const std::string& id)>;
   Notices(Agent agent, OnTold on_told) : agent_(std::move(agent)), on_told_(std::move(on_told)) {}
   void owe(const std::string& id, const Notice& notice);
+  void moveTo(tcp::endpoint peer, std::string host);
   std::size_t owed() const { return owed_.size(); }
 
  private:
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -391,6 +391,13 @@
     if (pid_ > 0) kill();
   }
 
+  // Replaces the configuration and tells it so.
+  void reload(const std::string& discovery) {
+    config_["discovery"] = discovery_ = discovery;
+    std::ofstream(state_ + "-config.json") << config_.dump();
+    signal(SIGHUP);
+  }
+
   // Starts it and waits until it answers PING.
   void start() {
     port_ = Listener().port;  // free a moment ago; the program listens with SO_REUSEADDR
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -195,6 +195,27 @@
   }
 }
 
+// SIGHUP: list and notices come from and go to the address that the file names now; a file that can't be read
+// changes nothing.
+TEST(SenderProgram, SighupMovesToTheDiscoveryThatTheFileNames) {
+  Fleet f(deliver);
+  Client c(f.program.port());
+  ASSERT_EQ("+OK", c.put("before", "order", 7));
+  ASSERT_TRUE(f.agent.waitForWatch(1));
+  f.program.reload("nonsense");
+  Agent moved;
+  Server other([](const Seen& s) { return s.body == "unanswered" ? Act{} : Act{answer("200 OK")}; });
+  moved.tell(
+      json::array({listed("e1", f.endpoint.address(), 7, "Terminating"), listed("e2", other.address(), 7)}));
+  f.program.reload(moved.address());
+  ASSERT_TRUE(moved.waitForWatch(2));
+  ASSERT_EQ("+OK", c.put("after", "order", 7));
+  ASSERT_TRUE(other.waitFor(1));
+  ASSERT_EQ("+OK", c.put("short", "payment", 7, "unanswered", 300));
+  ASSERT_TRUE(moved.waitForNotice("short"));
+  EXPECT_EQ(0u, f.agent.noticeCount());
+}
+
 TEST(SenderProgram, AFullDiskBudgetRefusesAndKeepsWhatItHas) {
   Fleet f(stayOut, 0.3);
   Client c(f.program.port());
