--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -15,11 +15,13 @@
 constexpr std::size_t kBodyLimit = 65536;
 constexpr Micros kLongestWait = 24LL * 3600 * 1000000;
 
-// The Result of each answer, by the protocol's table. What is not in it was at least answered: an error.
+// The Result of each answer, by the protocol's table. What is not in it was at least answered: an error. One
+// that breaks off is not to be read, and may have run, but for a first line that says 200.
 Result resultOf(const HttpAnswer& a) {
   if (a.how == Exchanged::not_written) return Result::connect_failed;
   if (a.how == Exchanged::broken) return Result::reset;
   if (a.how == Exchanged::timed_out) return Result::timeout;
+  if (!a.whole && a.status != 200) return Result::error;
   switch (a.status) {
     case 200:
       return Result::ok;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -57,6 +57,7 @@
     request.body() = std::move(r.body);
     request.prepare_payload();
     parser.emplace();
+    parser->get().result(0u);  // no status yet; a new one says 200
     parser->body_limit(body_limit);
     parser->header_limit(kHeaderLimit);
     done = std::move(d);
@@ -87,9 +88,9 @@
     timer.expires_after(std::chrono::microseconds(std::max<Micros>(0, span)));
     timer.async_wait([self = shared_from_this(), mine](error_code e) {
       if (e || mine != self->turn) return;
-      self->finish(self->header    ? Exchanged::answered
-                   : self->written ? Exchanged::timed_out
-                                   : Exchanged::not_written);
+      self->finish(self->header || self->delivered() ? Exchanged::answered
+                   : self->written                   ? Exchanged::timed_out
+                                                     : Exchanged::not_written);
     });
   }
 
@@ -106,7 +107,7 @@
     http::async_read_header(
         socket, in, *parser, [self = shared_from_this(), mine](error_code e, std::size_t) {
           if (mine != self->turn) return;
-          if (e) return self->finish(Exchanged::broken);
+          if (e) return self->finish(self->delivered() ? Exchanged::answered : Exchanged::broken);
           // From here on the status is known, whatever becomes of the body.
           self->header = true;
           http::async_read(self->socket, self->in, *self->parser, [self, mine](error_code e2, std::size_t) {
@@ -117,6 +118,9 @@
         });
   }
 
+  // A whole first line that says 200 is true, whatever follows it.
+  bool delivered() const { return parser->get().result_int() == 200; }
+
   void finish(Exchanged how, bool whole = false) {
     ++turn;
     timer.cancel();
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -89,6 +89,17 @@
         Row{"garbled", {"no http at all\r\n\r\n", true}, Result::reset, false, 0},
         Row{"ended", {"", true}, Result::reset, false, 0},
         Row{"reset", {"", false, true}, Result::reset, false, 0},
+        Row{"delivered_rest_garbled",
+            {"HTTP/1.1 200 OK\r\n\x01 no field\r\n\r\n", true},
+            Result::ok,
+            true,
+            0},
+        Row{"delivered_rest_lost", {"HTTP/1.1 200 OK\r\nContent-Le", false, true}, Result::ok, true, 0},
+        Row{"turned_away_cut_off",
+            {"HTTP/1.1 503 Full\r\nContent-Length: 10\r\n\r\nhalf", true},
+            Result::error,
+            false,
+            0},
         Row{"half_a_head", {"HTTP/1.1 200", true}, Result::reset, false, 0}),
     [](const auto& i) { return std::string(i.param.name); });
 
