--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -127,10 +127,6 @@
 struct Gone {
   std::string id;
 };  // nobody wants it any more
-struct Started {
-  std::string id;
-  int attempt = 0;
-};  // a streamed answer has begun
 struct Outcome {
   std::string id;
   int attempt = 0;
@@ -146,7 +142,7 @@
   std::vector<Endpoint> endpoints;
 };
 struct Wake {};
-using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, ListUpdate, Wake>;
+using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Outcome, ListUpdate, Wake>;
 
 // ---- actions
 struct Send {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,5 +1,6 @@
 // grademux: THE decision module. Its interface stands in include/grademux/sender.h.
-// The design is RBFQ of "RePAIR" (dual real-time tags). Sections: 1 tags, 2 upper bound, 3 health, 4 attempts, 5 admission, 6 membership, then the turn.
+// The design is RBFQ of "RePAIR" (dual real-time tags). Sections: 1 tags, 2 upper bound, 3 health, 4
+// attempts, 5 admission, 6 membership, then the turn.
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -315,8 +316,15 @@
     common_slow = std::max(1.0, ratios[ratios.size() / 2]);
   }
 
-  // Calls that stay out far too long are evidence before any time-out: guards against a hanging destination
-  // that fills the slots meanwhile. Harm: a chance long call shifts it into the lane until one is answered.
+  void away(Guard& g) {
+    g.down = true;
+    g.cold_since = now;
+    g.first_bad = std::min(g.first_bad, now);
+  }
+
+  // Calls that stay out far too long are evidence before any time-out, several at once of an outage: guards
+  // against a hanging destination that fills the slots meanwhile. Harm: a chance long call shifts it into the
+  // lane until one is answered.
   void countOverdue() {
     for (auto& [order, o] : outs) {
       Server& s = *o.first->attempts[o.second].server;
@@ -329,6 +337,7 @@
       a.late = true;
       s.guard.overdue += s.guard.last_ok < a.sent;
       if (!apart(s)) s.dest->guard.overdue += s.dest->guard.last_ok < a.sent;
+      if (scope(s).overdue >= kStreak) away(scope(s));
     }
   }
 
@@ -387,8 +396,7 @@
     const bool dead = g.streak > 0 && (many() || g.streak >= kStreak || bad_for > set.fall_span);
     if (g.failed > kFailMost || shut || dead) {
       if (shut && !hard) g.streak = std::max(g.streak, 1);
-      g.down = true;
-      g.cold_since = now;
+      away(g);
       g.u = std::max(g.u, static_cast<double>(now));
     }
   }
@@ -414,8 +422,7 @@
       // Nothing goes there before a told wait is over; after a long one, an outage, each adds its spread.
       double spread = 0;
       if (wait > set.fall_span / 2) {
-        g.down = true;
-        g.cold_since = now;
+        away(g);
         spread = comeBack(g, *s.dest);
       }
       if (wait > 0) g.wait_until = std::max(g.wait_until, now + wait + static_cast<Micros>(spread));
@@ -481,7 +488,7 @@
   // THE effect rule. No repeat of what may have run, but: safe ones at will; keyed ones only where and while
   // the destination drops repeats; never two out at once unless the site allows copies.
   bool maySend(const Message& m, const Server& s) const {
-    if (static_cast<int>(m.attempts.size()) >= set.max_attempts || m.streaming) return false;
+    if (static_cast<int>(m.attempts.size()) >= set.max_attempts) return false;
     if (m.out > 0 && !set.may_copy) return false;
     if (m.cls->effect == Effect::safe || !mayHaveRun(m)) return true;
     if (m.cls->effect == Effect::unsafe) return false;
@@ -746,7 +753,7 @@
   // many senders an aim later at least: they would take the place of first tries still in time, and those
   // of a clump came back as one and pushed over what returned. Also guards against limits that eat all tries.
   void again(Message& m, Server& s) {
-    if (m.held || m.out > 0 || m.streaming) return;
+    if (m.held || m.out > 0) return;
     if (now >= m.end_at || !anySendLeft(m)) return finish(m, now < m.end_at);
     const double left = static_cast<double>(m.end_at - now);
     const int tries = set.max_attempts - static_cast<int>(m.attempts.size());
@@ -946,10 +953,6 @@
   void on(const Outcome& e) { onOutcome(e); }
   void on(const ListUpdate& e) { onList(e); }
   void on(const Wake&) {}
-  void on(const Started& e) {
-    auto it = messages.find(e.id);
-    if (it != messages.end()) it->second.streaming = true;
-  }
   void on(const Gone& e) {
     auto it = messages.find(e.id);
     if (it == messages.end()) return;
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -81,7 +81,7 @@
     } else if (name == "CheckResult") {
       readResult(f);  // the module never probes, so there is nobody to tell
     } else if (name == "Established") {
-      i.events.push_back(Started{text(f, "OpId"), static_cast<int>(integer(f, "Attempt"))});
+      integer(f, "Attempt");  // no class here has streamed answers
     } else if (name == "Left") {
       i.events.push_back(Gone{text(f, "OpId")});
     } else if (name == "Reply") {
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -138,6 +138,30 @@
   EXPECT_EQ(r.at(r.now + 5 * kMs).run({o}), std::vector<std::string>{"healthy"});
 }
 
+// ticket4109: destinations that went silent drew calls into the lane until the time-outs of the first ones
+// ended, seconds later, and each held a slot as long. Three overdue calls with none answered since make an
+// outage, whose trials are paced.
+TEST(Health, SeveralOverdueCallsAreAnOutageBeforeAnyTimeOut) {
+  Settings s = makeSettings();
+  s.senders = 2;
+  s.slots = 20;
+  Rig r(s);
+  r.list({makeEndpoint("e1", 1), makeEndpoint("e2", 2)});
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    r.at(r.now + 300 * kMs).arrive(id, "safe", 1);
+    r.at(r.now + 100 * kMs).end(id, 0, Result::ok);
+  }
+  r.at(r.now + kS).run({r.arrival("a", "safe", 1), r.arrival("b", "safe", 1), r.arrival("c", "safe", 1)});
+  r.at(r.now + kS);
+  std::vector<Event> more;
+  for (int i = 0; i < 5; ++i) more.emplace_back(r.arrival("m" + std::to_string(i), "safe", 1));
+  EXPECT_LE(r.run(more).size(), 1u);  // a trial, where the lane has room for seven
+  std::size_t n = 0;
+  for (int i = 0; i < 10; ++i) n += r.at(r.now + 100 * kMs).wake().size();
+  EXPECT_LE(n, 2u);
+}
+
 // rough-2 of budapest-kozpont: nine destinations hung with one call each; none counted as sick, all slots
 // went.
 TEST(Health, OneOverdueCallEachIsEnoughForTheLane) {
