--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -44,6 +44,8 @@
     std::int64_t n = 0;
     if (name == "c") {
       put.message.message_class = value;
+    } else if (name == "t") {
+      put.message.tenant = value;
     } else if (name == "d") {
       if (!wholeNumber(value, n) || n > kLongestMs) return "malformed d";
       put.may_last = n * 1000;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -58,6 +58,7 @@
     Resumed m;
     m.message.id = e.message.id;
     m.message.message_class = e.message.message_class;
+    m.message.tenant = e.message.tenant;
     m.message.order_key = e.message.order_key;
     m.message.destination = e.message.destination;
     m.message.give_up_at = e.message.give_up_at + shift;
@@ -105,6 +106,7 @@
   Arrival a;
   a.id = m.id;
   a.message_class = m.message_class;
+  a.tenant = m.tenant;
   a.order_key = m.order_key;
   a.destination = m.destination;
   a.give_up_at = monotonicNow() + put.may_last;
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -75,6 +75,7 @@
     at_ += n;
     return s;
   }
+  bool more() const { return at_ < in_.size(); }
 
  private:
   const std::string& in_;
@@ -108,6 +109,7 @@
       .number(m.destination)
       .number(m.give_up_at)
       .number(m.repeat)
+      .text(m.tenant)
       .out();
 }
 std::string attemptedPayload(const std::string& id, const JournaledAttempt& a) {
@@ -127,7 +129,7 @@
 std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
 
 std::uint64_t sizeOf(const TakenOn& m) {
-  return kHeader + 1 + 8 * 8 + m.id.size() + m.message_class.size() + m.order_key.size() +
+  return kHeader + 1 + 9 * 8 + m.id.size() + m.message_class.size() + m.tenant.size() + m.order_key.size() +
          m.idempotency_key.size() + m.body.size();
 }
 
@@ -238,6 +240,7 @@
     e.message.destination = r.number();
     e.message.give_up_at = r.number();
     e.message.repeat = r.number() != 0;
+    if (r.more()) e.message.tenant = r.text();  // a journal from before tenants were kept has none
     e.order = ++next_order_;
     entries_[id] = std::move(e);
     return;
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -13,7 +13,7 @@
 namespace grademux {
 
 struct TakenOn {  // what a client handed in, as it goes on to the endpoint
-  std::string id, message_class, order_key, idempotency_key, body;
+  std::string id, message_class, tenant, order_key, idempotency_key, body;
   std::int64_t destination = 0;
   Micros give_up_at = 0;  // Unix time
   bool repeat = false;
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -34,6 +34,35 @@
   EXPECT_EQ(std::string("a\0\r\nb", 5), s.body);
 }
 
+// What a client says of its tenant reaches the decisions, also over a kill: with one slot, a message inside
+// its tenant's share goes before earlier ones of a tenant that is far beyond its own.
+TEST(SenderProgram, AMessageInsideItsTenantsShareGoesFirst) {
+  json settings = plainSettings();
+  settings["Domain"]["CallSlots"] = 1;
+  settings["OverShareWorth"] = 0.1;
+  settings["Tenants"] = {{{"Name", "beyond"}, {"QuotaRps", 0.001}, {"Share", 0.5}},
+                         {{"Name", "inside"}, {"QuotaRps", 1000.0}, {"Share", 0.5}}};
+  std::atomic<bool> silent{true};
+  TempFolder folder;
+  Agent agent;
+  Server endpoint([&](const Seen&) { return silent ? Act{} : Act{answer("200 OK")}; });
+  Program program(folder.path(), agent.address(), json::array({listed("e1", endpoint.address(), 7)}), 3,
+                  settings);
+  Client c(program.port());
+  auto put = [&](const std::string& id, const std::string& tenant) {
+    return c.ask({"MSG.PUT", "0", id, "c=payment,t=" + tenant + ",d=28000,dest=7", "body"});
+  };
+  ASSERT_EQ("+OK", put("first", "beyond"));
+  ASSERT_TRUE(endpoint.waitFor(1));  // it holds the slot, and may have run when the process is killed
+  for (const char* id : {"b1", "b2", "b3"}) ASSERT_EQ("+OK", put(id, "beyond"));
+  ASSERT_EQ("+OK", put("mine", "inside"));
+  program.kill();
+  silent = false;
+  program.start();
+  ASSERT_TRUE(endpoint.waitFor(5));
+  EXPECT_EQ("mine", endpoint.seen()[1].field("X-Txn"));
+}
+
 TEST(SenderProgram, BadInputGetsAnErrorAndTheProgramLivesOn) {
   Fleet f(deliver);
   Client c(f.program.port());
