--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "net/control.h"
 #include "net/host.h"
 #include "settings.h"
 
@@ -16,10 +17,11 @@
 // After SIGTERM: no call is started that would last longer, and the process is gone well before the 3.7 s at
 // which it may be killed. New clients come for up to 0.4 s.
 constexpr Micros kStopAfter = 3'400'000, kLateClients = 600'000, kLook = 20'000;
-constexpr std::int64_t kSpareSockets = 32;  // files, the agent's connections and the listener
+// Files, the agent's connections, the listeners, and operators that call.
+constexpr std::int64_t kSpareSockets = 28 + Control::kMostCallers;
 
 struct Config {
-  std::string listen, discovery, state;
+  std::string listen, discovery, state, control;  // control: empty where operators have no address
   std::uint64_t seed = 0, disk_bytes = 0;
   std::int64_t sockets = 0;
   json known;
@@ -61,6 +63,7 @@
   Config c;
   c.listen = variable("GW_LISTEN", text(o, "listen", ""));
   c.discovery = discoveryOf(o);
+  c.control = variable("GW_CONTROL", text(o, "control", ""));
   c.state = variable("GW_STATE", "");
   if (c.state.empty()) bad("GW_STATE is not set");
   c.seed = seedOf(o);
@@ -95,6 +98,21 @@
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   boost::asio::steady_timer look(io);
   Micros stop_from = 0;
+  std::optional<Control> control;
+  if (!c.control.empty())
+    control.emplace(io, parseAddress(c.control), [&](const std::string& call) -> std::string {
+      if (call == "READY") {
+        if (stop_from > 0) return "ERR stopping";
+        if (clients.draining()) return "ERR draining";
+        return host.knowsList() ? "OK ready" : "ERR no list of endpoints yet";
+      }
+      if (call != "DRAIN" && call != "UNDRAIN") return "ERR unknown call: READY, DRAIN or UNDRAIN";
+      if (stop_from > 0) return "ERR stopping";
+      std::cerr << "operator: " << call << '\n';
+      if (call == "UNDRAIN") clients.undrain();
+      else clients.drain();
+      return call == "DRAIN" ? "OK draining" : "OK serving";
+    });
   std::function<void()> lookAgain = [&] {
     const Micros since = monotonicNow() - stop_from;
     const bool quiet = since > kLateClients && clients.unanswered() == 0 && endpoints.out() == 0 &&
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -21,6 +21,7 @@
 // What a peer may take. The platform wants one that sends no proper request answered or closed within 3 s of
 // connecting, lets a connection with none open be closed after 2 s, and a client gives one up after 0.4 s.
 constexpr std::chrono::milliseconds kFirstMessage{2000}, kRestOfRequest{1000}, kTakesReply{1000};
+constexpr std::chrono::milliseconds kFirstWhenDraining{1000};  // no connection outlasts a drain's first 4 s
 // When the table is full: who rests longest makes room, sooner if it never handed in a message.
 constexpr std::chrono::milliseconds kRested{2000}, kRestedIdler{500}, kLookForRoom{20};
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
@@ -92,7 +93,7 @@
   std::chrono::steady_clock::time_point since = std::chrono::steady_clock::now();  // of its rest
 
   void start() {
-    limit(kFirstMessage);
+    limit(clients.draining_ ? kFirstWhenDraining : kFirstMessage);
     read();
   }
 
@@ -139,7 +140,8 @@
     begun = false;
     in.erase(0, used);
     const std::string command = upper(words[0]);
-    if (command == "PING") return answer(words.size() > 1 ? "-ERR wrong number of arguments" : "+PONG");
+    if (command == "PING" && words.size() > 1) return answer("-ERR wrong number of arguments");
+    if (command == "PING") return answer(clients.draining_ ? "-ERR draining" : "+PONG");
     if (command != "MSG.PUT") return answer("-ERR unknown command");
     if (words.size() != 5) return answer("-ERR wrong number of arguments");
     Put put;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -30,8 +30,11 @@
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
-  // Closes connections between requests; those that still come or are in one are closed once answered.
+  // PING gets no yes; closes connections between requests, and those that still come or are in one once
+  // answered.
   void drain();
+  void undrain() { draining_ = false; }
+  bool draining() const { return draining_; }
   std::size_t unanswered() const { return unanswered_; }
   unsigned short port() const;
 
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -29,6 +29,7 @@
   void outcome(Outcome o);
   void told(const std::string& id);  // a notice was answered
   void stopAt(Micros at);            // the process ends then, on the monotonic clock
+  bool knowsList() const { return !destinations_.empty(); }
   bool idle() const { return events_.empty() && held_.empty(); }
 
  private:
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -23,6 +23,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -326,12 +327,12 @@
     }
   }
   // One line without its end; empty if the connection ended first.
-  std::string line() {
+  std::string line(const std::string& end_mark = "\r\n") {
     for (;;) {
-      const auto end = in_.find("\r\n");
+      const auto end = in_.find(end_mark);
       if (end != std::string::npos) {
         std::string l = in_.substr(0, end);
-        in_.erase(0, end + 2);
+        in_.erase(0, end + end_mark.size());
         return l;
       }
       pollfd p{fd_, POLLIN, 0};
@@ -360,6 +361,10 @@
     send(request(words));
     return line();
   }
+  std::string call(const std::string& operator_line) {
+    send(operator_line + "\n");
+    return line("\n");
+  }
   std::string put(const std::string& id, const std::string& cls, int dest, const std::string& body = "body",
                   int may_last_ms = 28000) {
     return ask(
@@ -402,6 +407,8 @@
   void start() {
     port_ = Listener().port;  // free a moment ago; the program listens with SO_REUSEADDR
     config_["listen"] = "127.0.0.1:" + std::to_string(port_);
+    control_port_ = Listener().port;
+    config_["control"] = "127.0.0.1:" + std::to_string(control_port_);
     config_["discovery"] = discovery_;
     const std::string path = state_ + "-config.json";
     std::ofstream(path) << config_.dump();
@@ -438,12 +445,29 @@
     wait();
   }
   int port() const { return port_; }
+  int controlPort() const { return control_port_; }
+  std::string operate(const std::string& call) { return Client(control_port_).call(call); }
 
  private:
   std::string state_, discovery_;
   json config_;
-  int port_ = 0;
+  int port_ = 0, control_port_ = 0;
   pid_t pid_ = -1;
 };
 
+// One endpoint of destination 7, its agent and the program.
+struct Fleet {
+  explicit Fleet(Server::Script script, double disk_mb = 3)
+      : endpoint(std::move(script)),
+        program(folder.path(), agent.address(), json::array({listed("e1", endpoint.address(), 7)}), disk_mb) {
+  }
+  TempFolder folder;
+  Agent agent;
+  Server endpoint;
+  Program program;
+};
+
+inline Act deliver(const Seen&) { return {answer("200 OK")}; }
+inline Act stayOut(const Seen&) { return {}; }
+
 }  // namespace grademux::loopback
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -8,21 +8,6 @@
 
 using namespace loopback;
 
-// One endpoint of destination 7, its agent and the program.
-struct Fleet {
-  explicit Fleet(Server::Script script, double disk_mb = 3)
-      : endpoint(std::move(script)),
-        program(folder.path(), agent.address(), json::array({listed("e1", endpoint.address(), 7)}), disk_mb) {
-  }
-  TempFolder folder;
-  Agent agent;
-  Server endpoint;
-  Program program;
-};
-
-Act deliver(const Seen&) { return {answer("200 OK")}; }
-Act stayOut(const Seen&) { return {}; }
-
 TEST(SenderProgram, TakesAMessageOnAndDeliversItUnchanged) {
   Fleet f(deliver);
   Client c(f.program.port());
