--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -102,11 +102,12 @@
   Micros estimate = 0;  // guess of its own work, 0: none
   bool repeat = false;  // a client's next try, or held before by a sender that died
 };
-// A message that this sender had taken on before its process ended, with its attempts, all over by now.
+// A message that this sender had taken on before its process ended, with its attempts.
 struct PastAttempt {
   std::string endpoint;  // may be listed no more, or unknown
   Micros sent = 0;       // may be before the first turn
   bool may_have_run = true;
+  bool out = false;  // the process before still has it out, and its outcome will come
 };
 struct Resumed {
   Arrival message;
@@ -119,6 +120,7 @@
   std::int64_t destination = 0;
   bool down = false;
   Micros cold_since = 0;
+  Micros wait_until = 0;  // told to wait
 };
 // This process ends at `at`: an outcome that comes later is not heard.
 struct Stopping {
@@ -159,7 +161,7 @@
 };  // final: handing it in again is harmless
 struct Fail {
   std::string id;
-};  // final: no such promise
+};                // final: no such promise
 struct Watch {};  // subscribe to membership changes
 struct CloseIdle {
   std::string endpoint;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -103,9 +103,8 @@
 
   // M: one start for each aim of the most urgent held class.
   void updatePeriod(Dest& d) {
-    double least = 1e300;
-    for (const Message* m : d.held) least = std::min(least, static_cast<double>(m->cls->aim));
-    if (least < 1e300) d.period = least;
+    d.period = static_cast<double>(d.held.front()->cls->aim);
+    for (const Message* m : d.held) d.period = std::min(d.period, static_cast<double>(m->cls->aim));
   }
 
   void hold(Message& m, Micros not_before) {
@@ -427,25 +426,26 @@
       }
       if (wait > 0) g.wait_until = std::max(g.wait_until, now + wait + static_cast<Micros>(spread));
     }
-    keepHealth(s, was_down);
+    keepHealth(s, scope(s).down != was_down || wait > 0);
   }
 
   // What a restart must not forget: the next process resumes a backlog, and would push over what returns
-  // cold.
-  void keepHealth(Server& s, bool was_down) {
+  // cold, or be told to wait twice.
+  void keepHealth(Server& s, bool changed) {
     Guard& g = scope(s);
-    if (g.down == was_down && std::abs(g.cold_since - g.noted) <= set.fall_span / 2) return;
+    if (!changed && std::abs(g.cold_since - g.noted) <= set.fall_span / 2) return;
     g.noted = g.cold_since;
-    acts.push_back(Ailment{apart(s) ? s.id : "", s.dest->id, g.down, g.cold_since});
+    acts.push_back(Ailment{apart(s) ? s.id : "", s.dest->id, g.down, g.cold_since, g.wait_until});
   }
 
-  void onAilment(const Ailment& a) {
+  void on(const Ailment& a) {
     auto s = servers.find(a.endpoint);
     if (!a.endpoint.empty() && s == servers.end()) return;
     Guard& g = a.endpoint.empty() ? dests[a.destination].guard : s->second.guard;
     dests[a.destination].id = a.destination;
     g.down = a.down;
     g.cold_since = g.noted = a.cold_since;
+    g.wait_until = std::max(g.wait_until, a.wait_until);
     if (a.down) g.streak = std::max(g.streak, 1);
   }
 
@@ -605,14 +605,19 @@
       charge(s.guard, apart(s) ? s.guard.limit : d.guard.limit / n, own / n);
       if (!apart(s)) charge(d.guard, d.guard.limit, own);
     }
-    ++calls[call];
     s.used = now;
-    outs[++next_attempt] = {&m, m.attempts.size()};
-    m.attempts.push_back({&s, now, call, next_attempt, true, true, idled, false, false});
-    ++m.out;
+    track(m, {&s, now, call, 0, true, true, idled});
     acts.push_back(Send{m.id, s.id, timeoutFor(m, s)});
   }
 
+  void track(Message& m, Attempt a) {  // from now on it is out
+    ++calls[a.call];
+    a.order = ++next_attempt;
+    outs[a.order] = {&m, m.attempts.size()};
+    m.attempts.push_back(a);
+    ++m.out;
+  }
+
   void settle(Message& m, Attempt& a) {
     a.out = false;
     --m.out;
@@ -721,7 +726,7 @@
     }
   }
 
-  void onOutcome(const Outcome& o) {
+  void on(const Outcome& o) {
     auto it = messages.find(o.id);
     if (it == messages.end()) return;
     Message& m = it->second;
@@ -801,7 +806,7 @@
     return quota / rate + (1 - quota / rate) * set.over_share_worth;
   }
 
-  void onArrival(const Arrival& a) {
+  void on(const Arrival& a) {
     if (messages.count(a.id)) return;
     const auto c = std::find_if(set.classes.begin(), set.classes.end(),
                                 [&](const MessageClass& k) { return k.name == a.message_class; });
@@ -837,21 +842,21 @@
   }
 
   // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard
-  // may have run. Guards against a second effect after a restart.
-  void onResumed(const Resumed& r) {
-    onArrival(r.message);
+  // may have run, and one that it still has out is waited for. Guards against a second effect after a
+  // restart.
+  void on(const Resumed& r) {
+    on(r.message);
     auto it = messages.find(r.message.id);
     if (it == messages.end()) return;
     Message& m = it->second;
     for (const PastAttempt& p : r.attempts) {
       auto s = servers.find(p.endpoint);
-      Attempt a;
-      a.server = s == servers.end() ? nullptr : &s->second;
-      a.sent = p.sent;
-      a.out = false;
-      a.may_have_run = p.may_have_run;
-      m.attempts.push_back(a);
+      Server* server = s == servers.end() ? nullptr : &s->second;
+      const Attempt a{server, p.sent, ++next_call, 0, p.out && server, p.may_have_run};
+      if (a.out) ++server->out;
+      a.out ? track(m, a) : m.attempts.push_back(a);
     }
+    if (m.out > 0) return unhold(m, false);
     if (anySendLeft(m)) return;
     finish(m, now < m.end_at);
     forget(m);
@@ -898,7 +903,7 @@
 
   // ==== 6. Membership
 
-  void onList(const ListUpdate& u) {
+  void on(const ListUpdate& u) {
     if (u.kind == ListKind::failed) {
       // The registry turned the call away: ask again, ever later, so that many senders don't hammer it.
       ask_failures = std::min(ask_failures + 1, 6);
@@ -946,12 +951,7 @@
 
   // ==== The turn
 
-  void on(const Arrival& e) { onArrival(e); }
-  void on(const Resumed& e) { onResumed(e); }
-  void on(const Ailment& e) { onAilment(e); }
   void on(const Stopping& e) { stop_at = e.at; }
-  void on(const Outcome& e) { onOutcome(e); }
-  void on(const ListUpdate& e) { onList(e); }
   void on(const Wake&) {}
   void on(const Gone& e) {
     auto it = messages.find(e.id);
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -45,6 +45,7 @@
   const Micros shift = monotonicNow() - unixNow();
   for (Ailment a : r.ailments) {
     a.cold_since += shift;
+    a.wait_until += shift;
     events_.push_back(a);
   }
   for (const Journal::Entry& e : r.entries) {
@@ -172,6 +173,7 @@
     if (const auto* h = std::get_if<Ailment>(&a)) {
       Ailment kept = *h;
       kept.cold_since += unixNow() - last_turn_;
+      kept.wait_until += unixNow() - last_turn_;
       journal_.ailing(kept);
     }
   }
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -123,7 +123,13 @@
 }
 std::string listPayload(const std::string& list) { return Writer(kList).text(list).out(); }
 std::string ailingPayload(const Ailment& a) {
-  return Writer(kAiling).text(a.endpoint).number(a.destination).number(a.down).number(a.cold_since).out();
+  return Writer(kAiling)
+      .text(a.endpoint)
+      .number(a.destination)
+      .number(a.down)
+      .number(a.cold_since)
+      .number(a.wait_until)
+      .out();
 }
 
 std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
@@ -227,6 +233,7 @@
     a.destination = r.number();
     a.down = r.number() != 0;
     a.cold_since = r.number();
+    if (r.more()) a.wait_until = r.number();  // a journal from before waits were kept has none
     ailments_[{a.destination, a.endpoint}] = a;
     return;
   }
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -48,6 +48,41 @@
   EXPECT_EQ(1u, rig.got<Refuse>().size());
 }
 
+// A call that the process before still has out holds its slot, is not sent again, and ends like one's own.
+TEST(Restart, CallsStillOutElsewhereAreWaitedFor) {
+  Settings set = makeSettings();
+  set.slots = 2;
+  Rig rig(set);
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  const PastAttempt out{"e", 99 * kS, true, true};
+  EXPECT_TRUE(rig.run({resumed(rig, "a", "unsafe", {out}), resumed(rig, "b", "unsafe", {out})}).empty());
+  EXPECT_TRUE(rig.got<Fail>().empty());
+  rig.at(100 * kS + 10 * kMs);
+  EXPECT_TRUE(rig.arrive("next", "safe", 1).empty());  // both slots are taken
+  rig.at(100 * kS + 20 * kMs);
+  EXPECT_EQ(std::vector<std::string>{"next"}, rig.end("a", 0, Result::ok));
+  rig.at(100 * kS + 30 * kMs);
+  rig.end("b", 0, Result::cancelled);  // lost with that process: it may have run
+  ASSERT_EQ(1u, rig.got<Fail>().size());
+  EXPECT_EQ("b", rig.got<Fail>()[0].id);
+}
+
+// A wait outlasts the process that was told it.
+TEST(Restart, AToldWaitIsKeptByTheNextProcess) {
+  Rig first;
+  first.at(100 * kS).list({makeEndpoint("e", 1)});
+  first.arrive("m", "safe", 1);
+  first.at(100 * kS + 100 * kMs).end("m", 0, Result::full, 100 * kMs, 700 * kMs);
+  ASSERT_EQ(1u, first.got<Ailment>().size());
+  Rig next;
+  next.at(first.now + 10 * kMs).list({makeEndpoint("e", 1)});
+  EXPECT_TRUE(next.run({first.got<Ailment>()[0], resumed(next, "m", "safe", {})}).empty());
+  next.at(first.now + 699 * kMs);
+  EXPECT_TRUE(next.wake().empty());
+  next.at(first.now + 701 * kMs);
+  EXPECT_EQ(1u, next.wake().size());
+}
+
 // The next process resumes a backlog: it must pace what it heard failing as the one before would have.
 TEST(Restart, AilmentsAreGivenOutAndKeptByTheNextProcess) {
   Rig first;
