--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -22,6 +22,7 @@
 // connecting, lets a connection with none open be closed after 2 s, and a client gives one up after 0.4 s.
 constexpr std::chrono::milliseconds kFirstMessage{2000}, kRestOfRequest{1000}, kTakesReply{1000};
 constexpr std::chrono::milliseconds kFirstWhenDraining{1000};  // no connection outlasts a drain's first 4 s
+constexpr std::chrono::milliseconds kJustCome{100};
 // When the table is full: who rests longest makes room, sooner if it never handed in a message.
 constexpr std::chrono::milliseconds kRested{2000}, kRestedIdler{500}, kLookForRoom{20};
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
@@ -89,7 +90,8 @@
   asio::steady_timer patience;  // with a peer that owes the rest of a request, or must take its reply
   std::string in, out;
   char piece[16384];
-  bool busy = false, closing = false, open = true, limited = false, begun = false, served = false;
+  bool busy = false, closing = false, open = true, limited = false, begun = false, served = false,
+       answered = false;
   std::chrono::steady_clock::time_point since = std::chrono::steady_clock::now();  // of its rest
 
   void start() {
@@ -162,7 +164,7 @@
 
   void answer(const std::string& reply) {
     out = reply + "\r\n";
-    busy = true;
+    busy = answered = true;
     limit(kTakesReply);
     asio::async_write(socket, asio::buffer(out), [self = shared_from_this()](error_code e, std::size_t) {
       if (!self->open) return;
@@ -205,31 +207,37 @@
   }
 };
 
-Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, OnPut on_put)
-    : io_(io), acceptor_(io), pause_(io), most_(most), on_put_(std::move(on_put)) {
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
-  acceptor_.listen();
+Clients::Clients(asio::io_context& io, tcp::acceptor acceptor, std::size_t most, OnPut on_put)
+    : acceptor_(std::move(acceptor)), pause_(io), most_(most), on_put_(std::move(on_put)) {
   accept();
 }
 
-Clients::~Clients() {
+Clients::~Clients() { stop(); }
+
+void Clients::stop() {
+  paused_ = true;
+  error_code ignored;
+  acceptor_.close(ignored);
+  pause_.cancel();
   const auto all = sessions_;
-  for (const auto& s : all) {
-    s->open = false;
-    s->patience.cancel();
-    error_code ignored;
-    s->socket.close(ignored);
-  }
+  for (const auto& s : all) s->close();
 }
 
-unsigned short Clients::port() const { return acceptor_.local_endpoint().port(); }
+void Clients::pauseAccepting() {
+  paused_ = true;
+  error_code ignored;
+  acceptor_.cancel(ignored);
+}
+
+void Clients::resumeAccepting() {
+  paused_ = false;
+  accept();
+}
 
 // No more connections than there is room for: the others wait in the backlog. Guards against running out of
 // descriptors, which the calls to endpoints need too.
 void Clients::accept() {
-  if (accepting_) return;
+  if (accepting_ || paused_) return;
   if (sessions_.size() >= most_) {
     if (makeRoom()) return;  // its end accepts the next
     pause_.expires_after(kLookForRoom);
@@ -241,7 +249,7 @@
   accepting_ = true;
   acceptor_.async_accept([this](error_code e, tcp::socket s) {
     accepting_ = false;
-    if (e == asio::error::operation_aborted) return;
+    if (e == asio::error::operation_aborted) return accept();  // paused, unless it went on meanwhile
     if (e) {  // out of descriptors, say: try again soon rather than spin
       pause_.expires_after(std::chrono::milliseconds(20));
       pause_.async_wait([this](error_code stopped) {
@@ -277,12 +285,16 @@
   accept();
 }
 
+// A connection that has just come has its first request on the way: it is closed once that is answered.
 void Clients::drain() {
   draining_ = true;
+  const auto now = std::chrono::steady_clock::now();
   const auto all = sessions_;
   for (const auto& s : all) {
     error_code e;
-    if (!s->busy && s->in.empty() && s->socket.available(e) == 0) s->close();
+    if (s->busy || !s->in.empty() || s->socket.available(e) > 0) continue;
+    if (!s->answered && now - s->since < kJustCome) s->limit(kFirstWhenDraining);
+    else s->close();
   }
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -24,8 +24,9 @@
   };
   using OnPut = std::function<void(Put, Reply)>;
 
-  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, std::size_t most,
-          OnPut on_put);  // throws when it can't listen
+  // `most`: connections at once.
+  Clients(boost::asio::io_context& io, boost::asio::ip::tcp::acceptor acceptor, std::size_t most,
+          OnPut on_put);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -35,8 +36,12 @@
   void drain();
   void undrain() { draining_ = false; }
   bool draining() const { return draining_; }
+  void pauseAccepting();  // who comes meanwhile waits in the backlog
+  void resumeAccepting();
+  void stop();  // listens no more and closes what is left
+  void limit(std::size_t most) { most_ = most; }
   std::size_t unanswered() const { return unanswered_; }
-  unsigned short port() const;
+  std::size_t count() const { return sessions_.size(); }
 
  private:
   struct Session;
@@ -44,14 +49,13 @@
   bool makeRoom();
   void ended(const std::shared_ptr<Session>& s);
 
-  boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   std::size_t most_;
   OnPut on_put_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::size_t unanswered_ = 0;
-  bool accepting_ = false, draining_ = false;
+  bool accepting_ = false, paused_ = false, draining_ = false;
 };
 
 }  // namespace grademux
--- a/src/net/control.h
+++ b/src/net/control.h
@@ -13,7 +13,7 @@
 
 class Control {
  public:
-  static constexpr std::size_t kMostCallers = 12;  // descriptors to set aside, with one for the listener
+  static constexpr std::size_t kMostCallers = 8;  // descriptors to set aside, with one for the listener
   using OnCall = std::function<std::string(const std::string& line)>;  // the reply, without its end
 
   Control(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -66,6 +66,7 @@
     : io_(io), peer_(std::move(peer)), host_(std::move(host)), timer_(io) {}
 
 void Agent::ask(HttpRequest request, Micros limit, HttpConnection::Done done) {
+  if (stopped_) return;
   if (!connection_ || !connection_->reusable())
     connection_ = std::make_unique<HttpConnection>(io_, peer_, host_, kListLimit);
   connection_->exchange(std::move(request), kConnect, limit, std::move(done));
@@ -73,6 +74,7 @@
 
 void Agent::later(Micros pause, std::function<void()> then) {
   connection_.reset();
+  if (stopped_) return;
   timer_.expires_after(std::chrono::microseconds(pause));
   timer_.async_wait([then = std::move(then)](const boost::system::error_code& e) {
     if (!e) then();
@@ -86,6 +88,12 @@
   host_ = std::move(host);
 }
 
+void Agent::stop() {
+  stopped_ = true;
+  connection_.reset();
+  timer_.cancel();
+}
+
 void Watcher::moveTo(tcp::endpoint peer, std::string host) {
   agent_.moveTo(std::move(peer), std::move(host));
   start(-1);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -30,6 +30,7 @@
   json all() const;
   std::int64_t index() const { return index_; }
   bool empty() const { return entries_.empty(); }
+  bool has(const std::string& endpoint) const { return entries_.count(endpoint) > 0; }
 
  private:
   std::int64_t index_ = -1;
@@ -43,6 +44,7 @@
   void ask(HttpRequest request, Micros limit, HttpConnection::Done done);
   void later(Micros pause, std::function<void()> then);  // drops the connection, goes on after the pause
   void moveTo(tcp::endpoint peer, std::string host);     // what is under way is called off and never answered
+  void stop();                                           // the same, and nothing is asked any more
 
  private:
   boost::asio::io_context& io_;
@@ -50,6 +52,7 @@
   std::string host_;
   std::unique_ptr<HttpConnection> connection_;
   boost::asio::steady_timer timer_;
+  bool stopped_ = false;
 };
 
 class Watcher {
@@ -58,6 +61,7 @@
   Watcher(Agent agent, OnAnswer on_answer) : agent_(std::move(agent)), on_answer_(std::move(on_answer)) {}
   void start(std::int64_t from);
   void moveTo(tcp::endpoint peer, std::string host);  // asks there for the whole list, then watches
+  void stop() { agent_.stop(); }
 
  private:
   void ask();
@@ -74,6 +78,7 @@
   Notices(Agent agent, OnTold on_told) : agent_(std::move(agent)), on_told_(std::move(on_told)) {}
   void owe(const std::string& id, const Notice& notice);
   void moveTo(tcp::endpoint peer, std::string host);
+  void stop() { agent_.stop(); }
   std::size_t owed() const { return owed_.size(); }
 
  private:
--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -146,12 +146,24 @@
   });
 }
 
-void Endpoints::cancel(const std::string& id, int attempt) {
+bool Endpoints::cancel(const std::string& id, int attempt) {
   auto it = calls_.find({id, attempt});
-  if (it == calls_.end()) return;
+  if (it == calls_.end()) return false;
   const Micros began = it->second.began;
   calls_.erase(it);  // closes the connection
   report({id, attempt}, Result::cancelled, began);
+  return true;
+}
+
+std::vector<Endpoints::CallId> Endpoints::calls() const {
+  std::vector<CallId> out;
+  for (const auto& [id, call] : calls_) out.push_back(id);
+  return out;
+}
+
+void Endpoints::closeAllIdle() {
+  idle_.clear();
+  idle_count_ = 0;
 }
 
 void Endpoints::closeIdle(const std::string& endpoint) {
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -15,6 +15,7 @@
 
 class Endpoints {
  public:
+  using CallId = std::pair<std::string, int>;  // message and attempt
   using OnOutcome = std::function<void(Outcome)>;
   struct Limits {
     Micros dial_timeout = 0, conn_idle = 0;
@@ -24,13 +25,14 @@
 
   void address(const std::string& endpoint, const std::string& address);  // as listed, new or changed
   void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout);
-  void cancel(const std::string& id, int attempt);
+  bool cancel(const std::string& id, int attempt);  // false: no such call is out from here
   void closeIdle(const std::string& endpoint);
+  void closeAllIdle();
+  std::vector<CallId> calls() const;  // those out
   std::size_t out() const { return calls_.size(); }
   std::size_t idle() const { return idle_count_; }
 
  private:
-  using CallId = std::pair<std::string, int>;
   struct Idle {
     std::unique_ptr<HttpConnection> connection;
     Micros since = 0;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -18,17 +18,18 @@
 }  // namespace
 
 Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
-           Endpoints& endpoints, Notices& notices)
+           Endpoints& endpoints, Notices& notices, CancelElsewhere cancel_elsewhere)
     : io_(io),
       settings_(settings),
       sender_(std::move(settings), seed),
       journal_(journal),
       endpoints_(endpoints),
       notices_(notices),
+      cancel_elsewhere_(std::move(cancel_elsewhere)),
       turn_timer_(io),
       wake_timer_(io) {}
 
-void Host::recover(const json& known) {
+void Host::recover(const json& known, const std::set<CallId>& out) {
   const Journal::Recovered& r = journal_.recovered();
   if (r.damaged > 0) std::cerr << "journal: " << r.damaged << " damaged stretches passed over\n";
   if (r.torn) std::cerr << "journal: a torn tail was cut\n";
@@ -64,8 +65,12 @@
     m.message.destination = e.message.destination;
     m.message.give_up_at = e.message.give_up_at + shift;
     m.message.repeat = true;
-    for (const JournaledAttempt& a : e.attempts)
-      m.attempts.push_back({a.endpoint, a.sent + shift, !a.never_ran});
+    for (const JournaledAttempt& a : e.attempts) {
+      const CallId call{m.message.id, static_cast<int>(m.attempts.size())};
+      const bool still_out = !a.never_ran && out.count(call) > 0, listed = list_.has(a.endpoint);
+      if (still_out && !listed) unknown_out_.insert(call);
+      m.attempts.push_back({a.endpoint, a.sent + shift, !a.never_ran, still_out && listed});
+    }
     events_.push_back(std::move(m));
   }
   if (!r.entries.empty()) std::cerr << "journal: " << r.entries.size() << " messages resumed\n";
@@ -120,8 +125,23 @@
   add(std::move(a));
 }
 
+void Host::retire() {
+  if (!events_.empty()) turn();
+  journal_.close();
+  retired_ = true;
+  wakes_.clear();
+  turn_timer_.cancel();
+  wake_timer_.cancel();
+}
+
 void Host::outcome(Outcome o) {
   auto it = held_.find(o.id);
+  if (unknown_out_.erase({o.id, o.attempt}) > 0) {
+    if (it == held_.end() || !o.finished) return;
+    journal_.over(o.id);
+    held_.erase(it);
+    return add(Gone{o.id});
+  }
   if (it != held_.end()) {
     if (o.finished) {
       journal_.over(o.id);
@@ -140,6 +160,7 @@
 void Host::stopAt(Micros at) { add(Stopping{at}); }
 
 void Host::add(Event e) {
+  if (retired_) return;
   events_.push_back(std::move(e));
   if (turn_due_) return;
   turn_due_ = true;
@@ -217,7 +238,7 @@
       o.result = Result::not_sent;
       outcome(std::move(o));
     } else if (const auto* c = std::get_if<Cancel>(&a)) {
-      endpoints_.cancel(c->id, c->attempt);
+      if (!endpoints_.cancel(c->id, c->attempt)) cancel_elsewhere_({c->id, c->attempt});
     } else if (const auto* i = std::get_if<CloseIdle>(&a)) {
       endpoints_.closeIdle(i->endpoint);
     } else if (const auto* w = std::get_if<WakeIn>(&a)) {
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -18,11 +18,15 @@
 
 class Host {
  public:
+  using CallId = Endpoints::CallId;
+  using CancelElsewhere = std::function<void(const CallId&)>;  // a call that another process has out
   Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
-       Endpoints& endpoints, Notices& notices);
+       Endpoints& endpoints, Notices& notices, CancelElsewhere cancel_elsewhere);
 
-  // Takes over what the journal and the configuration know: before clients are served.
-  void recover(const json& known);
+  // Takes over what the journal and the configuration know: before clients are served. `out`: calls that are
+  // still out, here or from another process; each gets its outcome().
+  void recover(const json& known, const std::set<CallId>& out);
+  void retire();  // decides what is pending and writes it down; from then on another host decides
   std::int64_t list(const json& answer);  // discovery's answer; gives the version to go on from
   std::int64_t version() const { return list_.index(); }
   void put(Clients::Put put, Clients::Reply reply);
@@ -51,15 +55,17 @@
   Journal& journal_;
   Endpoints& endpoints_;
   Notices& notices_;
+  CancelElsewhere cancel_elsewhere_;
   EndpointList list_;
   std::map<std::string, Held> held_;
-  std::set<std::string> fresh_;  // arrived since the last turn
+  std::set<std::string> fresh_;   // arrived since the last turn
+  std::set<CallId> unknown_out_;  // calls out to an endpoint that left the list: the module can't know them
   std::set<std::int64_t> destinations_;
   std::vector<Event> events_;
   std::multiset<Micros> wakes_;
   boost::asio::steady_timer turn_timer_, wake_timer_;
   Micros last_turn_ = INT64_MIN / 4;
-  bool turn_due_ = false;
+  bool turn_due_ = false, retired_ = false;
 };
 
 }  // namespace grademux
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -172,9 +172,13 @@
   if (recovered_.damaged > 0) compact();
 }
 
-Journal::~Journal() {
+Journal::~Journal() { close(); }
+
+void Journal::close() {
+  if (fd_ < 0) return;
   flush();
-  if (fd_ >= 0) ::close(fd_);
+  ::close(fd_);
+  fd_ = -1;
 }
 
 // Reads what is sound. Damage in the middle is passed over up to the next sound record; what follows the last
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -70,6 +70,7 @@
   void listed(const std::string& list);
   void ailing(const Ailment& a);  // in Unix time
   bool flush();
+  void close();  // flushes; from then on another process may own the files
 
  private:
   void append(const std::string& payload);
--- /dev/null
+++ b/src/net/listener.h
@@ -0,0 +1,17 @@
+// grademux: listening sockets: opened at an address, or passed on by the platform.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace grademux {
+
+// Throws boost::system::system_error when the address can't be listened on.
+boost::asio::ip::tcp::acceptor listenAt(boost::asio::io_context& io,
+                                        const boost::asio::ip::tcp::endpoint& address);
+
+// A listening socket that this process inherited. Works on a duplicate: the descriptor itself stays open, for
+// the time after the acceptor. Throws when it is no TCP socket.
+boost::asio::ip::tcp::acceptor listenOnPassed(boost::asio::io_context& io, int descriptor);
+
+}  // namespace grademux
--- /dev/null
+++ b/src/net/service.cpp
@@ -0,0 +1,331 @@
+// grademux: one process of a sender; see service.h.
+#include "service.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+
+#include "listener.h"
+
+namespace grademux {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// After SIGTERM: no call is started that would last longer, and the process is gone well before the 3.7 s at
+// which it may be killed. New clients come for up to 0.4 s.
+constexpr Micros kStopAfter = 3'400'000, kLateClients = 600'000, kLook = 10'000;
+constexpr Micros kYieldWithin = 200'000;  // requests that are half in; a client waits 400 ms for its answer
+// An owner that does not hand over hangs: the next process is to serve within 6 s. One that let go takes back
+// what the next has not locked by then, and gives up when a third process has it.
+constexpr Micros kOwnerHangs = 4'000'000, kTakeBackAfter = 2'000'000, kTakeBackWithin = 1'000'000;
+
+// Descriptors of one process besides its connections: standard streams, event loop, signals, journal, lock,
+// links, listeners, the agent's connections, and operators that call.
+constexpr std::int64_t kOwnFiles = 24 + Control::kMostCallers;
+// While one serves, another may be starting up: it has no client, journal or agent yet.
+constexpr std::int64_t kStartingFiles = 16 + Control::kMostCallers;
+
+Endpoints::CallId callOf(const json& j) {
+  if (!j.is_array() || j.size() != 2 || !j[0].is_string() || !j[1].is_number_integer()) bad("not a call");
+  return {j[0].get<std::string>(), j[1].get<int>()};
+}
+
+json outcomeToJson(const Outcome& o) {
+  json j{{"id", o.id},
+         {"attempt", o.attempt},
+         {"result", static_cast<int>(o.result)},
+         {"finished", o.finished},
+         {"wait", o.wait},
+         {"rtt", o.rtt}};
+  if (o.report) j["report"] = {o.report->left, o.report->limit};
+  return j;
+}
+
+Outcome outcomeFromJson(const json& j) {
+  Outcome o;
+  o.id = text(j, "id");
+  o.attempt = static_cast<int>(integer(j, "attempt"));
+  const std::int64_t result = integer(j, "result");
+  if (result < 0 || result > static_cast<int>(Result::not_sent)) bad("not a result");
+  o.result = static_cast<Result>(result);
+  o.finished = truth(j, "finished");
+  o.wait = integer(j, "wait");
+  o.rtt = integer(j, "rtt");
+  if (!absent(j, "report")) {
+    const json& r = array(j, "report");
+    if (r.size() != 2 || !r[0].is_number() || !r[1].is_number()) bad("not a report");
+    o.report = LimitReport{r[0].get<double>(), r[1].get<double>()};
+  }
+  return o;
+}
+
+tcp::acceptor listenForClients(asio::io_context& io, const Config& c) {
+  if (c.passed_socket >= 0) try {
+      return listenOnPassed(io, c.passed_socket);
+    } catch (const boost::system::system_error& e) {
+      std::cerr << e.what() << ": listening at " << c.listen << " instead\n";
+    }
+  return listenAt(io, parseAddress(c.listen));
+}
+
+}  // namespace
+
+// All that belongs to owning the journal.
+struct Service::Serving {
+  Serving(Service& s, const tcp::endpoint& agent, const std::set<CallId>& out)
+      : journal(s.config_.state, s.config_.disk_bytes),
+        notices(Agent(s.io_, agent, s.config_.discovery), [this](const std::string& id) { host.told(id); }),
+        host(s.io_, s.config_.settings, s.config_.seed, journal, s.endpoints_, notices,
+             [&s](const CallId& call) {
+               if (s.older_) s.older_->send({{"cancel", {call.first, call.second}}});
+             }),
+        watcher(Agent(s.io_, agent, s.config_.discovery), [this](const json& a) { return host.list(a); }),
+        clients(s.io_, listenForClients(s.io_, s.config_), s.clientRoom(),
+                [this](Clients::Put p, Clients::Reply r) { host.put(std::move(p), std::move(r)); }),
+        next(s.io_, s.config_.scratch, [&s](std::shared_ptr<Link> l) { s.yieldTo(std::move(l)); }) {
+    host.recover(s.config_.known, out);
+    watcher.start(host.version());
+  }
+
+  void retire() {
+    next.close();
+    clients.stop();
+    host.retire();
+    watcher.stop();
+    notices.stop();
+  }
+
+  Journal journal;
+  Notices notices;
+  Host host;
+  Watcher watcher;
+  Clients clients;
+  LinkListener next;
+};
+
+Service::Service(asio::io_context& io, Config config, std::function<void()> on_over)
+    : io_(io),
+      config_(std::move(config)),
+      on_over_(std::move(on_over)),
+      lock_(config_.state),
+      endpoints_(io,
+                 {config_.settings.dial_timeout, config_.settings.conn_idle,
+                  static_cast<std::size_t>(std::max<std::int64_t>(0, room() / 4))},
+                 [this](Outcome o) { outcome(std::move(o)); }),
+      look_timer_(io) {
+  if (room() < 8) bad("limits.sockets is too small");
+  if (!config_.control.empty())
+    control_.emplace(io, parseAddress(config_.control), [this](const std::string& c) { return operate(c); });
+  parseAddress(config_.discovery);
+  parseAddress(config_.listen);
+  waiting_from_ = monotonicNow();
+  look();
+}
+
+Service::~Service() = default;
+
+std::int64_t Service::room() const {
+  return config_.sockets - kOwnFiles - kStartingFiles - config_.settings.slots;
+}
+
+// Three quarters of the room for clients, which a crowd that never hands anything in must not fill, and a
+// quarter for idle connections to endpoints. A process that only ends its calls counts, too.
+std::size_t Service::clientRoom() const {
+  const std::int64_t older = older_ ? kOwnFiles - kStartingFiles + config_.settings.slots : 0;
+  return static_cast<std::size_t>(std::max<std::int64_t>(8, room() - room() / 4 - older));
+}
+
+// Looks again and again while something is to be waited for that has no event: not while it just serves.
+void Service::look() {
+  if (over_ || looking_) return;
+  if (serving_ && newer_) {
+    const Clients& c = serving_->clients;
+    const bool quiet = c.count() == 0 || monotonicNow() - yield_from_ > kYieldWithin;
+    if (quiet && c.unanswered() == 0) release();
+  } else if (!serving_ && (!newer_ || (!newer_serves_ && monotonicNow() - released_at_ > kTakeBackAfter))) {
+    waitForJournal();
+  }
+  if (done()) {
+    over_ = true;
+    return on_over_();
+  }
+  if (serving_ && !newer_ && stop_from_ == 0) return;
+  looking_ = true;
+  look_timer_.expires_after(std::chrono::microseconds(kLook));
+  look_timer_.async_wait([this](const boost::system::error_code& e) {
+    looking_ = false;
+    if (!e) look();
+  });
+}
+
+bool Service::done() const {
+  const Micros since = monotonicNow() - stop_from_;
+  if (stop_from_ > 0 && since >= kStopAfter) return true;
+  if (serving_)
+    return stop_from_ > 0 && !newer_ && since > kLateClients && serving_->clients.unanswered() == 0 &&
+           endpoints_.out() == 0 && serving_->notices.owed() == 0 && serving_->host.idle();
+  if (newer_) return (newer_serves_ || stop_from_ > 0) && endpoints_.out() == 0 && newer_->allSent();
+  return stop_from_ > 0 || (handed_over_ && monotonicNow() - waiting_from_ > kTakeBackWithin);
+}
+
+void Service::waitForJournal() {
+  const Micros waited = monotonicNow() - waiting_from_;
+  const bool owner_hangs = !handed_over_ && waited > kOwnerHangs;
+  if ((!older_ || older_released_ || owner_hangs) && stop_from_ == 0 && lock_.take()) return own();
+  if (handed_over_) return;
+  if (owner_hangs) {
+    const pid_t owner = lock_.holder();
+    if (owner > 0) {
+      std::cerr << "handover: process " << owner << " does not hand over: killed\n";
+      ::kill(owner, SIGKILL);  // what it has taken on is in the journal
+    }
+    return;
+  }
+  if (older_) return;
+  older_ = connectLink(io_, config_.scratch);
+  older_released_ = false;
+  if (older_) older_->start([this](const json& m) { onOlderMessage(m); }, [this] { onOlderEnd(); });
+}
+
+// This process owns the journal from here on.
+void Service::own() {
+  std::set<CallId> out = elsewhere_;
+  for (const CallId& c : endpoints_.calls()) out.insert(c);
+  for (const Outcome& o : told_) out.insert({o.id, o.attempt});
+  for (const Outcome& o : early_) out.insert({o.id, o.attempt});
+  if (newer_) newer_->close();
+  newer_.reset();
+  newer_serves_ = handed_over_ = false;
+  serving_ = std::make_unique<Serving>(*this, parseAddress(config_.discovery), out);
+  for (auto* heard : {&told_, &early_}) {
+    for (Outcome& o : *heard) serving_->host.outcome(std::move(o));
+    heard->clear();
+  }
+  if (operators_drain_) serving_->clients.drain();
+  if (older_) older_->send({{"serving", true}});
+  std::cerr << "ready\n";
+}
+
+void Service::outcome(Outcome o) {
+  if (serving_) return serving_->host.outcome(std::move(o));
+  if (newer_) newer_->send({{"outcome", outcomeToJson(o)}});
+  told_.push_back(std::move(o));
+}
+
+void Service::yieldTo(std::shared_ptr<Link> newer) {
+  if (newer_) return newer->close();  // it asks again
+  std::cerr << "handover: the next process asks for it\n";
+  newer_ = std::move(newer);
+  newer_serves_ = false;
+  yield_from_ = monotonicNow();
+  newer_->start(
+      [this](const json& m) {
+        if (!absent(m, "serving")) newer_serves_ = true;
+        if (absent(m, "cancel")) return;
+        const CallId call = callOf(field(m, "cancel"));
+        endpoints_.cancel(call.first, call.second);
+      },
+      [this] { onNewerEnd(); });
+  serving_->clients.pauseAccepting();
+  serving_->clients.drain();
+  look();
+}
+
+void Service::release() {
+  serving_->retire();
+  retired_.push_back(std::move(serving_));
+  endpoints_.closeAllIdle();
+  json out = json::array();
+  for (const CallId& c : endpoints_.calls()) out.push_back({c.first, c.second});
+  std::cerr << "handover: handed over with " << out.size() << " calls out\n";
+  newer_->send({{"release", std::move(out)}});
+  lock_.release();
+  handed_over_ = true;
+  released_at_ = waiting_from_ = monotonicNow();
+}
+
+void Service::onNewerEnd() {
+  std::cerr << "handover: the next process is gone\n";
+  newer_.reset();
+  waiting_from_ = monotonicNow();
+  if (serving_) {
+    if (!operators_drain_ && stop_from_ == 0) serving_->clients.undrain();
+    serving_->clients.resumeAccepting();
+  }
+  look();
+}
+
+void Service::onOlderMessage(const json& message) {
+  if (!absent(message, "release")) {
+    for (const json& c : array(message, "release")) elsewhere_.insert(callOf(c));
+    older_released_ = true;
+    look();
+  }
+  if (absent(message, "outcome")) return;
+  Outcome o = outcomeFromJson(field(message, "outcome"));
+  if (elsewhere_.erase({o.id, o.attempt}) == 0) return;
+  if (serving_) return serving_->host.outcome(std::move(o));
+  early_.push_back(std::move(o));
+}
+
+// What it had out when it ended may have run, which says nothing of the endpoint.
+void Service::onOlderEnd() {
+  older_.reset();
+  older_released_ = false;
+  const auto lost = std::move(elsewhere_);
+  elsewhere_.clear();
+  if (!serving_) return look();  // the journal tells of them
+  serving_->clients.limit(clientRoom());
+  for (const CallId& c : lost) {
+    Outcome o;
+    o.id = c.first;
+    o.attempt = c.second;
+    o.result = Result::cancelled;
+    serving_->host.outcome(std::move(o));
+  }
+}
+
+std::string Service::notReady() const {
+  if (stop_from_ > 0) return "stopping";
+  if (serving_ && newer_) return "handing over to the next process";
+  if (handed_over_) return "handed over to the next process";
+  if (!serving_) return "waiting for the process before to hand over";
+  if (operators_drain_) return "draining";
+  return serving_->host.knowsList() ? "" : "no list of endpoints yet";
+}
+
+std::string Service::operate(const std::string& call) {
+  const std::string why = notReady();
+  if (call == "READY") return why.empty() ? "OK ready" : "ERR " + why;
+  if (call != "DRAIN" && call != "UNDRAIN") return "ERR unknown call: READY, DRAIN or UNDRAIN";
+  if (stop_from_ > 0 || !serving_ || newer_) return "ERR " + why;
+  std::cerr << "operator: " << call << '\n';
+  operators_drain_ = call == "DRAIN";
+  operators_drain_ ? serving_->clients.drain() : serving_->clients.undrain();
+  return operators_drain_ ? "OK draining" : "OK serving";
+}
+
+void Service::stop() {
+  if (stop_from_ > 0) return;
+  std::cerr << "stopping\n";
+  stop_from_ = monotonicNow();
+  if (serving_) {
+    serving_->clients.drain();
+    serving_->host.stopAt(stop_from_ + kStopAfter);
+  }
+  look();
+}
+
+void Service::followDiscovery(const std::string& address) {
+  const tcp::endpoint peer = parseAddress(address);
+  config_.discovery = address;
+  if (!serving_) return;
+  serving_->watcher.moveTo(peer, address);
+  serving_->notices.moveTo(peer, address);
+}
+
+}  // namespace grademux
--- /dev/null
+++ b/src/net/service.h
@@ -0,0 +1,93 @@
+// grademux: one process of a sender, from start to end: it waits for the journal, serves, and hands over to
+// the process that replaces it. Wires the parts together; decides nothing about messages.
+//
+// Lines over the link, from the process that owned the journal: {"release":[[id,attempt],...]}, the calls it
+// still has out, the lock being free; {"outcome":{...}} for each as it ends. From the next: {"serving":true},
+// and {"cancel":[id,attempt]}.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control.h"
+#include "handover.h"
+#include "host.h"
+
+namespace grademux {
+
+struct Config {
+  std::string listen, discovery;
+  std::string state, scratch;  // the folder that lasts, and the one that both processes see
+  std::string control;         // empty where operators have no address
+  int passed_socket = -1;      // the clients' listening socket, where the platform holds it
+  std::uint64_t seed = 0, disk_bytes = 0;
+  std::int64_t sockets = 0;
+  json known;
+  Settings settings;
+};
+
+class Service {
+ public:
+  // `on_over`: this process has nothing left to do. Throws when the configuration can't be served.
+  Service(boost::asio::io_context& io, Config config, std::function<void()> on_over);
+  ~Service();
+  Service(const Service&) = delete;
+  Service& operator=(const Service&) = delete;
+
+  void stop();                                       // SIGTERM: over once all is done, in 3.4 s at most
+  void followDiscovery(const std::string& address);  // throws std::invalid_argument
+  const std::string& discovery() const { return config_.discovery; }
+
+ private:
+  struct Serving;
+  using CallId = Endpoints::CallId;
+
+  void look();
+  void waitForJournal();
+  void own();
+  bool done() const;
+  std::string operate(const std::string& call);
+  std::string notReady() const;  // why, or nothing
+  void outcome(Outcome o);
+
+  // As the older of two processes
+  void yieldTo(std::shared_ptr<Link> newer);
+  void release();
+  void onNewerEnd();
+  // As the newer of two
+  void onOlderMessage(const json& message);
+  void onOlderEnd();
+
+  std::int64_t room() const;  // descriptors for connections, besides what is set aside
+  std::size_t clientRoom() const;
+
+  boost::asio::io_context& io_;
+  Config config_;
+  std::function<void()> on_over_;
+  OwnerLock lock_;
+  Endpoints endpoints_;
+  std::optional<Control> control_;
+  boost::asio::steady_timer look_timer_;
+  std::unique_ptr<Serving> serving_;               // while this process owns the journal
+  std::vector<std::unique_ptr<Serving>> retired_;  // what may still have a handler queued, until the end
+  Micros stop_from_ = 0;
+  Micros waiting_from_ = 0;  // for the journal
+  bool operators_drain_ = false, looking_ = false, over_ = false;
+
+  std::shared_ptr<Link> older_;
+  bool older_released_ = false;
+  std::set<CallId> elsewhere_;  // calls that the older process has out
+  std::vector<Outcome> early_;  // of those that ended before this process owned the journal
+
+  std::shared_ptr<Link> newer_;
+  bool newer_serves_ = false, handed_over_ = false;
+  Micros yield_from_ = 0, released_at_ = 0;
+  std::vector<Outcome> told_;  // to the newer process: if it dies, it may not have written them down
+};
+
+}  // namespace grademux
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -41,7 +41,9 @@
     std::string pattern = (std::filesystem::temp_directory_path() / "grademux-XXXXXX").string();
     path_ = ::mkdtemp(pattern.data());
   }
-  ~TempFolder() { std::filesystem::remove_all(path_); }
+  ~TempFolder() {
+    for (const char* beside : {"", "-tmp", "-config.json"}) std::filesystem::remove_all(path_ + beside);
+  }
   const std::string& path() const { return path_; }
 
  private:
@@ -225,6 +227,10 @@
     std::lock_guard<std::mutex> l(mutex_);
     return notices_[message];
   }
+  std::string allNotices() {
+    std::lock_guard<std::mutex> l(mutex_);
+    return json(notices_).dump();
+  }
   std::size_t noticeCount() {
     std::lock_guard<std::mutex> l(mutex_);
     return notices_.size();
@@ -383,8 +389,9 @@
 class Program {
  public:
   Program(const std::string& state, const std::string& discovery, json endpoints, double disk_mb = 3,
-          json settings = plainSettings())
-      : state_(state), discovery_(discovery) {
+          json settings = plainSettings(), const Listener* passed = nullptr)
+      : state_(state), discovery_(discovery), passed_(passed) {
+    std::filesystem::create_directories(state_ + "-tmp");
     config_ = {{"name", "n0"},
                {"seed", "8c1f30d27a5be964"},
                {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", disk_mb}}},
@@ -405,25 +412,36 @@
 
   // Starts it and waits until it answers PING.
   void start() {
-    port_ = Listener().port;  // free a moment ago; the program listens with SO_REUSEADDR
+    port_ = passed_ ? passed_->port : Listener().port;  // free a moment ago; listened on with SO_REUSEADDR
     config_["listen"] = "127.0.0.1:" + std::to_string(port_);
     control_port_ = Listener().port;
     config_["control"] = "127.0.0.1:" + std::to_string(control_port_);
     config_["discovery"] = discovery_;
     const std::string path = state_ + "-config.json";
     std::ofstream(path) << config_.dump();
-    pid_ = spawn(path, state_);
-    const auto until = std::chrono::steady_clock::now() + kLong;
-    while (std::chrono::steady_clock::now() < until) {
+    pid_ = spawn(path, state_, passed_ ? passed_->fd : -1);
+    // Its own address first: a socket that is passed on may still be served by another process.
+    EXPECT_TRUE(eventually([this] {
+      const std::string reply = operate("READY");
+      return reply == "OK ready" || reply == "ERR no list of endpoints yet";
+    })) << "the program does not get ready";
+    EXPECT_TRUE(eventually([this] {
       Client c(port_);
-      if (c.connected() && c.ask({"PING"}) == "+PONG") return;
-      std::this_thread::sleep_for(10ms);
-    }
-    ADD_FAILURE() << "the program does not answer PING";
+      return c.connected() && c.ask({"PING"}) == "+PONG";
+    })) << "the program does not answer PING";
   }
-  static pid_t spawn(const std::string& config, const std::string& state) {
+  static pid_t spawn(const std::string& config, const std::string& state, int passed = -1) {
     const pid_t pid = ::fork();
     if (pid == 0) {
+      ::unsetenv("GW_PASSED_SOCKET");
+      if (passed >= 0) {
+        const int moved = ::fcntl(passed, F_DUPFD, 10);  // so that 5 is free, and a copy stays open over exec
+        ::dup2(moved, 5);
+        ::close(moved);
+        ::setenv("GW_PASSED_SOCKET", "5", 1);
+      }
+      ::setenv("TMPDIR", (state + "-tmp").c_str(), 1);
+      ::unsetenv("GW_CONTROL");
       ::setenv("GW_CONFIG", config.c_str(), 1);
       ::setenv("GW_STATE", state.c_str(), 1);
       ::unsetenv("GW_LISTEN");
@@ -444,12 +462,14 @@
     signal(SIGKILL);
     wait();
   }
+  pid_t pid() const { return pid_; }
   int port() const { return port_; }
   int controlPort() const { return control_port_; }
   std::string operate(const std::string& call) { return Client(control_port_).call(call); }
 
  private:
   std::string state_, discovery_;
+  const Listener* passed_;
   json config_;
   int port_ = 0, control_port_ = 0;
   pid_t pid_ = -1;
