--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -278,7 +278,9 @@
   const auto now = std::chrono::steady_clock::now();
   std::shared_ptr<Session> first;
   const auto rank = [](const Session& s) { return std::make_tuple(s.served, !s.in.empty(), s.answered); };
+  bool strangers = false;  // peers that never handed in a message
   for (const auto& s : sessions_) {
+    strangers = strangers || !s->served;
     const auto least = s->served        ? kRested
                        : !s->in.empty() ? kHalfSent
                        : s->answered    ? kNeverHandedIn
@@ -288,8 +290,9 @@
     if (first && std::make_pair(rank(*first), first->since) <= std::make_pair(rank(*s), s->since)) continue;
     if (s->socket.available(e) == 0) first = s;
   }
-  if (first) first->close();
-  return first != nullptr;
+  if (!first || (first->served && strangers)) return false;  // a stranger will soon have been silent for long
+  first->close();
+  return true;
 }
 
 void Clients::ended(const std::shared_ptr<Session>& s) {
