--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-constexpr Micros kHold = 20'000'000;      // how long a watch call may wait for news
-constexpr Micros kSilence = 1'500'000;    // an answer that is later than its wait by this won't come
-constexpr Micros kConnect = 1'000'000;    // the agent is on this machine
-constexpr Micros kPause = 100'000;        // after a call that failed
+constexpr Micros kHold = 20'000'000;    // how long a watch call may wait for news
+constexpr Micros kSilence = 1'500'000;  // an answer that is later than its wait by this won't come
+constexpr Micros kConnect = 1'000'000;  // the agent is on this machine
+// After a call that failed: twice as long each time, within half and one and a half of it by chance, so that
+// a fleet does not come back as one. News counts as told after 6 s at the latest, so it stays below.
+constexpr Micros kPause = 100'000, kLongestPause = 3'200'000;
 constexpr Micros kNoticeLimit = 500'000;  // for an answer that comes at once
 constexpr Micros kNoticePause = 50'000;
 constexpr std::size_t kListLimit = 8u << 20;
@@ -111,20 +113,28 @@
   if (from_ >= 0) r.target += "?from=" + std::to_string(from_) + "&hold_ms=" + std::to_string(kHold / 1000);
   const Micros limit = (from_ >= 0 ? kHold : 0) + kSilence;
   agent_.ask(std::move(r), limit, [this](const HttpAnswer& a) {
-    if (a.how != Exchanged::answered || a.status != 200 || !a.whole)
-      return agent_.later(kPause, [this] { ask(); });
+    if (a.how != Exchanged::answered || a.status != 200 || !a.whole) return askLater();
     try {
       from_ = on_answer_(json::parse(a.body));
     } catch (const std::exception& e) {
       // Guards against one garbled answer ending the watch: the whole list is asked for afresh.
       std::cerr << "discovery: " << e.what() << '\n';
       from_ = -1;
-      return agent_.later(kPause, [this] { ask(); });
+      return askLater();
     }
+    if (failures_ > 0) std::cerr << "discovery: answers again after " << failures_ << " failed calls\n";
+    failures_ = 0;
     ask();
   });
 }
 
+// The last list stays in force meanwhile.
+void Watcher::askLater() {
+  if (failures_++ == 0) std::cerr << "discovery: a call failed, asking again with growing pauses\n";
+  const Micros pause = std::min(kLongestPause, kPause << std::min(failures_ - 1, 8));
+  agent_.later(std::uniform_int_distribution<Micros>(pause / 2, pause * 3 / 2)(random_), [this] { ask(); });
+}
+
 void Notices::owe(const std::string& id, const Notice& notice) {
   owed_.emplace_back(id, notice);
   if (out_ == 0 && !waiting_) send();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 
 #include "../json_fields.h"
 #include "http.h"
@@ -58,17 +59,21 @@
 class Watcher {
  public:
   using OnAnswer = std::function<std::int64_t(const json&)>;  // answers the version from which to go on
-  Watcher(Agent agent, OnAnswer on_answer) : agent_(std::move(agent)), on_answer_(std::move(on_answer)) {}
+  Watcher(Agent agent, std::uint64_t seed, OnAnswer on_answer)
+      : agent_(std::move(agent)), on_answer_(std::move(on_answer)), random_(seed) {}
   void start(std::int64_t from);
   void moveTo(tcp::endpoint peer, std::string host);  // asks there for the whole list, then watches
   void stop() { agent_.stop(); }
 
  private:
   void ask();
+  void askLater();
 
   Agent agent_;
   OnAnswer on_answer_;
+  std::mt19937_64 random_;
   std::int64_t from_ = -1;
+  int failures_ = 0;  // in a row
 };
 
 // Sends notices until each has been answered, however often that takes.
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -83,7 +83,8 @@
              [&s](const CallId& call) {
                if (s.older_) s.older_->send({{"cancel", {call.first, call.second}}});
              }),
-        watcher(Agent(s.io_, agent, s.config_.discovery), [this](const json& a) { return host.list(a); }),
+        watcher(Agent(s.io_, agent, s.config_.discovery), s.config_.seed,
+                [this](const json& a) { return host.list(a); }),
         clients(s.io_, listenForClients(s.io_, s.config_), s.clientRoom(),
                 [this](Clients::Put p, Clients::Reply r) { host.put(std::move(p), std::move(r)); }),
         next(s.io_, s.config_.scratch, [&s](std::shared_ptr<Link> l) { s.yieldTo(std::move(l)); }) {
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -224,6 +224,27 @@
   }
 }
 
+// Discovery that turns calls away is asked again after pauses that grow; the last list stays in force.
+TEST(SenderProgram, AsksADiscoveryThatTurnsItAwayEverLater) {
+  const auto now = [] { return std::chrono::steady_clock::now(); };
+  std::mutex mutex;
+  std::vector<std::chrono::steady_clock::time_point> asked;
+  Server endpoint(deliver), turning_away([&](const Seen&) {
+    std::lock_guard<std::mutex> l(mutex);
+    asked.push_back(now());
+    return Act{answer("503 Busy")};
+  });
+  TempFolder folder;
+  Program program(folder.path(), turning_away.address(), json::array({listed("e1", endpoint.address(), 7)}));
+  EXPECT_EQ("OK ready", program.operate("READY"));
+  Client c(program.port());
+  ASSERT_EQ("+OK", c.put("m", "notice", 7));
+  ASSERT_TRUE(endpoint.waitFor(1));
+  ASSERT_TRUE(turning_away.waitFor(6));
+  std::lock_guard<std::mutex> l(mutex);
+  for (std::size_t i = 1; i < 5; ++i) EXPECT_GE(asked[i] - asked[i - 1], 50ms * (1 << (i - 1))) << i;
+}
+
 // SIGHUP: list and notices come from and go to the address that the file names now; a file that can't be read
 // changes nothing.
 TEST(SenderProgram, SighupMovesToTheDiscoveryThatTheFileNames) {
