Count a message's time from when its client sent it, not from when it was read

Cause: Session::take set the request's start to the moment of its first read. Change: what waits in the queue of connections or unread in a socket counts from the last moment at which that was seen empty and watched, 400 ms back at most, as a client waits no longer. Rejected: the kernel's receive time of each segment; it is of another clock, which may step, and not every platform gives it.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,6 +11,7 @@
 
 #include "clocks.h"
 #include "resp.h"
+#include "waiting_since.h"
 
 namespace grademux {
 
@@ -81,20 +82,26 @@
 }  // namespace
 
 struct Clients::Session : std::enable_shared_from_this<Session> {
-  Session(Clients& c, tcp::socket s, Connections::Id i) : clients(c), socket(std::move(s)), id(i) {}
+  Session(Clients& c, tcp::socket s, Connections::Id i, Micros came_after)
+      : clients(c), socket(std::move(s)), id(i), waiting(came_after) {}
 
   Clients& clients;
   tcp::socket socket;
   const Connections::Id id;
   std::string in, out;
   std::size_t discarded = 0;
-  Micros heard = 0, began = 0;  // the last bytes; the first ones of the request that is read or buffered
+  WaitingSince waiting;  // what is unread in the socket
+  Micros heard = 0,
+         began = 0;  // sent: the last bytes; the first ones of the request that is read or buffered
   bool open = true, hangs_up = false;
 
   // Waits first, so that a connection that rests holds no buffer.
   void read() {
+    error_code none;
+    if (socket.available(none) == 0) waiting.seenEmpty();
     socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code e) {
       if (!self->open) return;
+      self->waiting.seenFull(monotonicNow());
       e ? self->close() : self->take();
     });
   }
@@ -106,12 +113,14 @@
     const std::size_t n = socket.read_some(asio::buffer(clients.piece_, most), e);
     if (e == asio::error::would_block) return read();
     if (e) return close();
-    clients.rules_.received(id, n, monotonicNow());
+    const Micros now = monotonicNow();
+    clients.rules_.received(id, n, now);
     if (hangs_up) {
       discarded += n;
       return discarded >= kDiscard ? close() : read();
     }
-    heard = monotonicNow();
+    heard = waiting.from(now);
+    waiting.taken(now);
     if (in.empty()) began = heard;
     in.append(clients.piece_, n);
     next();
@@ -209,7 +218,8 @@
 
 Clients::Clients(asio::io_context& io, tcp::acceptor acceptor, Connections& rules, OnPut on_put)
     : acceptor_(std::move(acceptor)), look_(io), deadline_(io), rules_(rules), on_put_(std::move(on_put)) {
-  accept();
+  acceptor_.non_blocking(true);
+  if (takeIn()) accept();
 }
 
 Clients::~Clients() { stop(); }
@@ -235,30 +245,40 @@
   accept();
 }
 
-// No more connections than there is room for: the others wait in the backlog. Guards against running out of
-// descriptors, which the calls to endpoints need too.
+// No more connections than there is room for: the others wait in the kernel's queue. Guards against running
+// out of descriptors, which the calls to endpoints need too.
 void Clients::accept() {
   if (accepting_ || paused_) return;
   accepting_ = true;
-  if (!rules_.clientFits()) {
-    acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code e) {
-      accepting_ = false;
-      if (e || paused_ || rules_.clientFits()) return accept();
-      if (!makeRoom(false)) lookLater();  // else its end accepts the next
-    });
-    return;
-  }
-  acceptor_.async_accept([this](error_code e, tcp::socket s) {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code e) {
     accepting_ = false;
+    if (e || paused_) return accept();  // one that was paused went on meanwhile
+    queue_.seenFull(monotonicNow());
+    if (!rules_.clientFits() && !makeRoom(false)) return lookLater();
+    if (takeIn()) accept();
+  });
+}
+
+// Those that wait in the queue, as far as there is room. False: what came instead is to be tried again later.
+bool Clients::takeIn() {
+  while (rules_.clientFits()) {
+    tcp::socket s(acceptor_.get_executor());
+    error_code e;
+    acceptor_.accept(s, e);
+    if (e == asio::error::would_block) {
+      queue_.seenEmpty();
+      return true;
+    }
+    if (!e) accepted(std::move(s));
+    if (!e || e == asio::error::connection_aborted) continue;  // its peer gave up
+    // The machine may have fewer descriptors than were configured: as if the table were full.
     const bool none_left =
         e == asio::error::no_descriptors || e == boost::system::errc::too_many_files_open_in_system;
-    if (!e) accepted(std::move(s));
-    // The machine has fewer descriptors than were configured: as if the table were full.
-    if (none_left && !makeRoom(false)) return lookLater();
-    if (e && !none_left && e != asio::error::operation_aborted && e != asio::error::connection_aborted)
-      return lookLater();  // rather than spin
-    accept();              // one that was paused went on meanwhile; one whose peer gave up has no successor
-  });
+    if (none_left && makeRoom(false)) return true;
+    lookLater();  // rather than spin
+    return false;
+  }
+  return true;
 }
 
 void Clients::accepted(tcp::socket s) {
@@ -267,8 +287,9 @@
   if (e) return;  // gone already
   s.set_option(tcp::no_delay(true), e);
   s.non_blocking(true, e);
-  const Connections::Id id = rules_.clientCame(peer.address().to_string(), monotonicNow());
-  const auto session = std::make_shared<Session>(*this, std::move(s), id);
+  const Micros now = monotonicNow();
+  const Connections::Id id = rules_.clientCame(peer.address().to_string(), now);
+  const auto session = std::make_shared<Session>(*this, std::move(s), id, queue_.from(now));
   sessions_.emplace(id, session);
   watchDeadlines();
   session->read();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -12,6 +12,7 @@
 
 #include "connections.h"
 #include "journal_format.h"
+#include "waiting_since.h"
 
 namespace grademux {
 
@@ -41,6 +42,7 @@
  private:
   struct Session;
   void accept();
+  bool takeIn();
   void accepted(boost::asio::ip::tcp::socket s);
   bool makeRoom(bool for_bytes);
   bool unread(Connections::Id id);
@@ -55,6 +57,7 @@
   OnPut on_put_;
   std::map<Connections::Id, std::shared_ptr<Session>> sessions_;
   std::size_t unanswered_ = 0;
+  WaitingSince queue_{INT64_MIN / 4};     // the kernel's queue of connections; at first there is no telling
   Micros watched_ = Connections::kNever;  // the deadline that the timer waits for
   bool accepting_ = false, paused_ = false, looking_ = false, serving_ = false;
   char piece_[16384];  // what was just read, for all connections
