Let who has asked once and handed in nothing hold a full table's place no longer

Cause: Connections::mayGoAfter kept a connection that was answered and handed in nothing for 500 ms under pressure, one that sent nothing for 20 ms. Change: both kinds may go after 20 ms of silence. A close between requests is free, and a message that it crosses comes again at once. Rejected: refusing PINGs by count, which needs a figure that fits no front.

--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -20,7 +20,7 @@
 // A machine that vanished leaves its connections open and silent; clients that rest for longer connect anew.
 constexpr Micros kLongestRest = 60'000 * kMs;
 // Under pressure: how long each kind must have been silent to make room.
-constexpr Micros kNothingSent = 20 * kMs, kNeverUseful = 500 * kMs, kHalfSent = 500 * kMs,
+constexpr Micros kNothingSent = 20 * kMs, kTakesError = 500 * kMs, kHalfSent = 500 * kMs,
                  kRested = 2000 * kMs;
 // A client's connection that rests, while another peer holds more: that peer's will soon have rested for
 // long.
@@ -221,9 +221,10 @@
   drop(clients_, id);
 }
 
-// An open request never goes. A client in the middle of a request has a deadline for the rest of it. One that
-// does no more than ask for long may go between any two requests: silence would never come.
-Micros Connections::mayGoAfter(const Connection& c, Micros now) {
+// An open request never goes. A client in the middle of a request has a deadline for the rest of it. Who was
+// answered and handed in nothing holds a place no longer than who sent nothing: guards against a crowd that
+// asks once and stays, behind which clients would wait for longer than they wait for an answer.
+Micros Connections::mayGoAfter(const Connection& c) {
   if (c.unread) return kNever;  // it will be read in its turn: guards against looking at it again and again
   switch (c.state) {
     case State::fresh:
@@ -231,9 +232,9 @@
     case State::reading:
       return c.useful ? kNever : kHalfSent;
     case State::idle:
-      return c.useful ? kRested : now - c.came < kNeverUseful ? kNeverUseful : kNothingSent;
+      return c.useful ? kRested : kNothingSent;
     case State::closing:
-      return kNeverUseful;
+      return kTakesError;
     case State::waiting:
       break;
   }
@@ -257,7 +258,7 @@
   for (const auto& [address, peer] : peers_) most = std::max(most, peer.connections);
   for (const auto& entry : clients_.all) {
     const Connection& c = entry.second;
-    Micros silent = mayGoAfter(c, now);
+    Micros silent = mayGoAfter(c);
     if (silent == kRested && c.of->connections < most) silent = kRestedWithFewer;
     if (silent == kNever || now - c.since < silent) continue;
     if (!first || order(entry.first, c) < order(first->first, first->second)) first = &entry;
@@ -266,7 +267,7 @@
   // A client that rests is kept while one that is of no use may go soon.
   const auto stranger = [&](const auto& entry) {
     const Connection& c = entry.second;
-    return (last(first->second) || c.of == first->second.of) && !c.useful && mayGoAfter(c, now) != kNever;
+    return (last(first->second) || c.of == first->second.of) && !c.useful && mayGoAfter(c) != kNever;
   };
   if (first->second.useful && std::any_of(clients_.all.begin(), clients_.all.end(), stranger))
     return std::nullopt;
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -152,7 +152,7 @@
   static std::size_t pooled(std::size_t bytes) { return bytes > kFreeBytes ? bytes - kFreeBytes : 0; }
   void setBytes(Connection& c, std::size_t bytes);
   void endRequest(Connection& c);
-  static Micros mayGoAfter(const Connection& c, Micros now);  // so long silent
+  static Micros mayGoAfter(const Connection& c);  // so long silent
 
   Budget budget_;
   Id next_id_ = 0;
