Take an answer that is in the socket when its call's timer fires

Cause: the timer's handler in http.cpp ended the exchange as timed out without looking at the socket. With the process busy, the answer came after the loop had last looked and before that handler ran: a payment was lost by it. Change: the timer ends the read under way, and its handler takes what is there before it says timed out; a body that is there too is taken as well. Result: test with two timers in one turn of the loop, the first sends the answer; without the change it fails.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 constexpr std::size_t kHeaderLimit = 16384;
+constexpr Micros kEndsRead = 1000;
 
 std::string lower(std::string s) {
   for (char& c : s)
@@ -45,7 +46,7 @@
   Done done;
   std::function<void()> connected;
   std::uint64_t turn = 0;  // exchanges begun or over: what belongs to an earlier one is ignored
-  bool open = false, written = false, header = false, keep = false;
+  bool open = false, written = false, header = false, keep = false, out_of_time = false;
   Deadline until;
   std::string time_left_field;
 
@@ -64,7 +65,7 @@
     parser->header_limit(kHeaderLimit);
     done = std::move(d);
     connected = std::move(c);
-    written = header = keep = false;
+    written = header = keep = out_of_time = false;
     const std::uint64_t mine = ++turn;
     until = u;
     time_left_field = std::move(r.time_left_field);
@@ -93,9 +94,13 @@
     timer.expires_after(std::chrono::microseconds(std::max<Micros>(0, span)));
     timer.async_wait([self = shared_from_this(), mine](error_code e) {
       if (e || mine != self->turn) return;
-      self->finish(self->header || self->delivered() ? Exchanged::answered
-                   : self->written                   ? Exchanged::timed_out
-                                                     : Exchanged::not_written);
+      if (!self->written) return self->finish(Exchanged::not_written);
+      // The answer may be in the socket, unread while this process was busy: the read under way is ended, and
+      // its handler takes what is there. Again soon, for one that was about to go on and was not ended.
+      self->out_of_time = true;
+      error_code ignored;
+      self->socket.cancel(ignored);
+      self->setTimer(mine, kEndsRead);
     });
   }
 
@@ -116,17 +121,35 @@
     http::async_read_header(
         socket, in, *parser, [self = shared_from_this(), mine](error_code e, std::size_t) {
           if (mine != self->turn) return;
+          self->header = !e;  // from here on the status is known, whatever becomes of the body
+          if (self->out_of_time && (!e || e == asio::error::operation_aborted))
+            return self->takeWhatIsThere();
           if (e) return self->finish(self->delivered() ? Exchanged::answered : Exchanged::broken);
-          // From here on the status is known, whatever becomes of the body.
-          self->header = true;
           http::async_read(self->socket, self->in, *self->parser, [self, mine](error_code e2, std::size_t) {
             if (mine != self->turn) return;
-            self->keep = !e2 && self->parser->get().keep_alive() && self->in.size() == 0;
-            self->finish(Exchanged::answered, !e2);
+            if (e2 == asio::error::operation_aborted) return self->takeWhatIsThere();
+            self->answered(!e2);
           });
         });
   }
 
+  void takeWhatIsThere() {
+    error_code e;
+    socket.non_blocking(true, e);
+    if (!e && !header) {
+      http::read_header(socket, in, *parser, e);
+      header = !e;
+    }
+    if (!e) http::read(socket, in, *parser, e);
+    if (header || delivered()) return answered(!e);
+    finish(e == asio::error::would_block ? Exchanged::timed_out : Exchanged::broken);
+  }
+
+  void answered(bool whole) {
+    keep = whole && parser->get().keep_alive() && in.size() == 0;
+    finish(Exchanged::answered, whole);
+  }
+
   // A whole first line that says 200 is true, whatever follows it.
   bool delivered() const { return parser->get().result_int() == 200; }
 
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -1,5 +1,6 @@
 // Calls over loopback sockets: each row of the protocol's table of outcomes, and the pool of connections.
 #include <boost/asio/io_context.hpp>
+#include <optional>
 
 #include "../src/net/endpoints.h"
 #include "net/loopback.h"
@@ -54,6 +55,37 @@
   Endpoints endpoints;
 };
 
+// The answer comes while this process is busy, and the call's timer has fired before it is looked for: a
+// test's timer, due just before, sends it, and both fire in one turn of the loop.
+TEST(HttpConnection, AnAnswerThatIsInTheSocketWhenTheTimerFiresIsAnAnswer) {
+  boost::asio::io_context io;
+  loopback::Listener listener;
+  HttpConnection connection(io, parseAddress(listener.address()), "e", 65536);
+  HttpRequest r;
+  r.method = "POST";
+  r.target = "/hook";
+  std::optional<HttpAnswer> got;
+  const Deadline until = within(3'000'000);
+  connection.exchange(std::move(r), 3'000'000, until, [&](const HttpAnswer& a) { got = a; });
+  const int fd = ::accept4(listener.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  char piece[4096];
+  while (::recv(fd, piece, sizeof piece, 0) <= 0) io.run_one_for(std::chrono::milliseconds(1));
+  io.poll();  // the read of the answer is under way
+  boost::asio::steady_timer just_before(io);
+  just_before.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(until.at() - 1)));
+  just_before.async_wait([&](const boost::system::error_code&) {
+    const std::string bytes = answer("429 Too Many Requests", "Retry-After: 0.5\r\n", "later");
+    EXPECT_EQ(static_cast<ssize_t>(bytes.size()), ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  });
+  while (until.left(monotonicNow()) >= -1000) {}  // busy: the loop does not turn
+  while (!got) io.run_one_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(Exchanged::answered, got->how);
+  EXPECT_EQ(429, got->status);
+  EXPECT_TRUE(got->whole);
+  EXPECT_TRUE(connection.reusable());
+  ::close(fd);
+}
+
 // An endpoint whose machine takes no connection for now: its backlog is full.
 struct Stuck {
   Stuck() {
