Let the test of SIGTERM under traffic make the endpoint's pace itself

Cause: its endpoint answered at loopback speed, so the sender learned latencies of microseconds and waited 5 ms for a payment's answer; a busy machine's threads come later than that. It could also wait for ever for further messages once the program had left. Change: a payment is answered once two more were handed in, so the pace learned is that of the traffic itself.

--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -354,29 +354,49 @@
 
 // SIGTERM: calls out are heard to their end, what cannot be started is left to the next process, late clients
 // are still answered, and the program leaves by itself with status 0.
+// A payment is answered once two more were handed in, so that what the sender learns of the endpoint's pace,
+// and with it how long it waits, is paced by the same traffic on a busy machine as on an idle one.
 TEST(SenderProgram, SigtermUnderTrafficLosesNothing) {
-  Fleet f(deliver);
-  std::atomic<bool> stop{false};
-  std::atomic<int> asked{0};
+  std::mutex mutex;
+  std::condition_variable more;
+  int asked = 0;
+  bool stop = false;
+  Fleet f([&](const Seen& s) {
+    std::unique_lock<std::mutex> l(mutex);
+    more.wait_for(l, kLong, [&, mine = asked] { return stop || asked >= mine + 2; });
+    return deliver(s);
+  });
+  const auto waitForAsked = [&](int count) {
+    std::unique_lock<std::mutex> l(mutex);
+    EXPECT_TRUE(more.wait_for(l, kLong, [&, from = asked] { return asked >= from + count; }));
+  };
   std::vector<std::string> taken;
   std::thread traffic([&] {
-    for (int i = 0; !stop; ++i) {
+    for (int i = 0;; ++i) {
       Client c(f.program.port());
-      if (!c.connected()) continue;
       const std::string id = "m" + std::to_string(i);
-      ++asked;
+      {
+        std::lock_guard<std::mutex> l(mutex);
+        if (stop) return;
+        if (c.connected()) ++asked;
+      }
+      more.notify_all();
+      if (!c.connected()) continue;
       if (c.put(id, "payment", 7) == "+OK") taken.push_back(id);
       std::this_thread::sleep_for(5ms);
     }
   });
-  while (asked < 20) std::this_thread::sleep_for(1ms);
+  waitForAsked(20);
   Client idle(f.program.port());
   ASSERT_EQ("+PONG", idle.ask({"PING"}));
   f.program.signal(SIGTERM);
   EXPECT_TRUE(idle.ended());  // an idle connection is closed between requests
-  const int before = asked;
-  while (asked < before + 5) std::this_thread::sleep_for(1ms);  // late ones are served
-  stop = true;
+  waitForAsked(5);            // late ones are served
+  {
+    std::lock_guard<std::mutex> l(mutex);
+    stop = true;
+  }
+  more.notify_all();
   traffic.join();
   const int status = f.program.wait();
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
