Send no repeat whose connection may come up behind the window in which it is dropped

Sender::Impl::maySend let a repeat go until two ticks before the window's end; on a new connection it arrives up to the time that a connect may take later. Ruled out by reading: time-outs whose answer is taken late (only what never ran goes again then), and the clock of the window (it runs from the turn). Change: the margin gains the dial time-out of the settings.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -496,7 +496,8 @@
       if (!a.may_have_run) continue;
       if (m.cls->group != RepeatGroup::all && (!a.server || a.server->zone != s.zone)) return false;
       if (m.cls->group == RepeatGroup::cell && a.server->dest != s.dest) return false;
-      if (now > a.sent + m.cls->memory - 2 * set.tick) return false;
+      // Its connection may first have to come up, and the repeat arrives so much later.
+      if (now > a.sent + m.cls->memory - 2 * set.tick - set.dial_timeout) return false;
     }
     return true;
   }
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -17,6 +17,17 @@
   return r;
 }
 
+// A repeat's connection may have to come up first (1 s at most here), and the window of 5 s is over when it
+// arrives.
+TEST(Restart, NoRepeatGoesWhoseConnectionMayComeUpBehindTheWindow) {
+  Rig rig;
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  const PastAttempt in_time{"e", 100 * kS - 3900 * kMs, true}, too_near{"e", 100 * kS - 4100 * kMs, true};
+  const auto sent =
+      rig.run({resumed(rig, "in_time", "keyed", {in_time}), resumed(rig, "near", "keyed", {too_near})});
+  EXPECT_EQ(std::vector<std::string>{"in_time"}, std::vector<std::string>(sent.begin(), sent.end()));
+}
+
 TEST(Restart, WhatMayHaveRunGoesAgainOnlyAsItsClassAllows) {
   Rig rig;
   rig.at(100 * kS).list({makeEndpoint("e", 1)});
