Know to the byte whether a call has been written when its timer fires or it is called off

Cause: a request was marked as written in the handler that runs after the write, and a timer that was set anew could have its handler queued already. Both orders made a request that had gone out whole pass for one that was never written (http.cpp, setTimer and write): it would be sent again, also where it must not. Change: the request is written by hand, so that it counts as written once the kernel has its last byte; the handler of a timer that has been set anew does nothing. Ruled out: making the timer's handler ask the socket what is left in its queue; that tells nothing of the peer.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 
 namespace grademux {
@@ -42,10 +43,13 @@
   std::size_t body_limit;
   boost::beast::flat_buffer in;
   http::request<http::string_body> request;
+  std::string bytes;     // of the request
+  std::size_t sent = 0;  // of them, taken by the kernel
   std::optional<http::response_parser<http::string_body>> parser;
   Done done;
   std::function<void()> connected;
-  std::uint64_t turn = 0;  // exchanges begun or over: what belongs to an earlier one is ignored
+  std::uint64_t turn = 0;    // exchanges begun or over: what belongs to an earlier one is ignored
+  std::uint64_t timing = 0;  // settings of the timer: one that was set anew may have its handler queued
   bool open = false, written = false, header = false, keep = false, out_of_time = false;
   Deadline until;
   std::string time_left_field;
@@ -91,9 +95,10 @@
   }
 
   void setTimer(std::uint64_t mine, Micros span) {
+    const std::uint64_t setting = ++timing;
     timer.expires_after(std::chrono::microseconds(std::max<Micros>(0, span)));
-    timer.async_wait([self = shared_from_this(), mine](error_code e) {
-      if (e || mine != self->turn) return;
+    timer.async_wait([self = shared_from_this(), mine, setting](error_code e) {
+      if (e || mine != self->turn || setting != self->timing) return;
       if (!self->written) return self->finish(Exchanged::not_written);
       // The answer may be in the socket, unread while this process was busy: the read under way is ended, and
       // its handler takes what is there. Again soon, for one that was about to go on and was not ended.
@@ -109,12 +114,30 @@
     const Micros left = until.left(monotonicNow());
     if (left <= 0) return finish(Exchanged::not_written);
     if (!time_left_field.empty()) request.set(time_left_field, std::to_string(left / 1000));
-    http::async_write(socket, request, [self = shared_from_this(), mine](error_code e, std::size_t) {
-      if (mine != self->turn) return;
-      if (e) return self->finish(Exchanged::not_written);
-      self->written = true;
-      self->readHeader(mine);
-    });
+    std::ostringstream all;
+    all << request;
+    bytes = all.str();
+    sent = 0;
+    writeOn(mine);
+  }
+
+  // By hand, so that `written` is true from the moment at which the last byte is the kernel's: a call that is
+  // called off, or out of time, between that and a handler would pass for one that can't have run.
+  void writeOn(std::uint64_t mine) {
+    error_code e;
+    socket.non_blocking(true, e);
+    while (!e && sent < bytes.size()) sent += socket.write_some(asio::buffer(bytes) + sent, e);
+    if (e == asio::error::would_block) {
+      socket.async_wait(tcp::socket::wait_write, [self = shared_from_this(), mine](error_code e2) {
+        if (mine != self->turn) return;
+        e2 ? self->finish(Exchanged::not_written) : self->writeOn(mine);
+      });
+      return;
+    }
+    if (e) return finish(Exchanged::not_written);
+    written = true;
+    std::string().swap(bytes);
+    readHeader(mine);
   }
 
   void readHeader(std::uint64_t mine) {
@@ -210,6 +233,8 @@
   return e == asio::error::would_block;
 }
 
+bool HttpConnection::written() const { return state_->written; }
+
 tcp::endpoint parseAddress(const std::string& address) {
   const auto colon = address.rfind(':');
   error_code e;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -52,6 +52,7 @@
   void exchange(HttpRequest request, Micros connect_limit, Deadline until, Done done,
                 std::function<void()> connected = nullptr);
   bool reusable() const;  // open, idle, and not closed from the other side
+  bool written() const;   // the last byte of the exchange under way is the kernel's
 
  private:
   struct State;
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -86,6 +86,24 @@
   ::close(fd);
 }
 
+// The connection is up, and the timer of the connect has fired, before either is looked for: the request goes
+// out, and so it may not pass for one that was never written.
+TEST(HttpConnection, AConnectionThatComesUpAsItsTimerFiresIsUp) {
+  Server s([](const Seen&) { return Act{answer("200 OK")}; });
+  boost::asio::io_context io;
+  HttpConnection connection(io, parseAddress(s.address()), "e", 65536);
+  HttpRequest r;
+  r.method = "POST";
+  r.target = "/hook";
+  std::optional<HttpAnswer> got;
+  const Micros connect_limit = 20'000, from = monotonicNow();
+  connection.exchange(std::move(r), connect_limit, within(60'000'000), [&](const HttpAnswer& a) { got = a; });
+  while (monotonicNow() - from <= connect_limit + 1000) {}  // busy: the loop does not turn
+  while (!got) io.run_one_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(s.seen().empty(), got->how == Exchanged::not_written);
+  EXPECT_EQ(200, got->status);
+}
+
 // An endpoint whose machine takes no connection for now: its backlog is full.
 struct Stuck {
   Stuck() {
