Withdraw calls that are not written yet when a wait or a drain is told

Cause: a wait or a drain withdrew only calls without a connection (endpoints.cpp, withdrawWaiting); one whose connection was coming up was written when it was up, inside the wait. Change: all calls of which the kernel does not have the last byte are withdrawn, as never run; on routes apart those of that route alone. Ruled out: calls decided after the wait was told (the log shows them on routes apart alone, where they may go).

--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -68,10 +68,11 @@
 Endpoints::Endpoints(asio::io_context& io, Limits limits, Connections& rules, OnOutcome on_outcome)
     : io_(io), limits_(limits), rules_(rules), on_outcome_(std::move(on_outcome)), sweeper_(io) {}
 
-void Endpoints::address(const std::string& endpoint, const std::string& address) {
-  std::string& known = addresses_[endpoint];
-  if (known == address) return;
-  known = address;
+void Endpoints::address(const std::string& endpoint, const std::string& address, bool apart) {
+  Peer& known = peers_[endpoint];
+  known.apart = apart;
+  if (known.address == address) return;
+  known.address = address;
   closeIdle(endpoint);
 }
 
@@ -99,7 +100,7 @@
     }
     idle.pop_back();
   }
-  call.address = addresses_[call.endpoint];
+  call.address = peers_[call.endpoint].address;
   std::function<void()> connected;
   if (!call.connection) {
     if (const auto other = rules_.idleToCloseFor(call.endpoint)) closeOldest(*other);
@@ -163,18 +164,30 @@
   }
 }
 
-void Endpoints::withdrawWaiting(const std::function<bool(const Call&)>& which) {
-  for (const CallId& id : waiting_) {
-    const auto it = calls_.find(id);
-    if (it == calls_.end() || it->second.connection || !which(it->second)) continue;
-    const Micros began = it->second.began;
-    calls_.erase(it);
-    report(id, Result::not_sent, began);
+// Those that wait for a connection, whose connection comes up, and that are half written: none has run.
+void Endpoints::withdrawUnwritten(const std::function<bool(const Call&)>& which) {
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    Call& c = it->second;
+    if ((c.connection && c.connection->written()) || !which(c)) {
+      ++it;
+      continue;
+    }
+    report(it->first, Result::not_sent, c.began);
+    letGo(c);
+    it = calls_.erase(it);  // closes the connection
   }
 }
 
 void Endpoints::drained(const std::string& endpoint) {
-  withdrawWaiting([&](const Call& c) { return c.endpoint == endpoint; });
+  withdrawUnwritten([&](const Call& c) { return c.endpoint == endpoint; });
+  startWaiting();
+}
+
+// A wait holds for calls that the module decided on before it was told, too.
+void Endpoints::toldWait(const std::string& endpoint, std::int64_t destination) {
+  const bool apart = peers_[endpoint].apart;
+  withdrawUnwritten(
+      [&](const Call& c) { return apart ? c.endpoint == endpoint : c.destination == destination; });
 }
 
 void Endpoints::letGo(Call& call) {
@@ -200,9 +213,7 @@
   calls_.erase(it);
   if (kept) keep(call);
   letGo(call);
-  if (o.wait > 0) {  // it holds for calls that the module decided on before it was told, too
-    withdrawWaiting([&](const Call& c) { return c.destination == call.destination; });
-  }
+  if (o.wait > 0) toldWait(call.endpoint, call.destination);
   startWaiting();
   on_outcome_(std::move(o));
 }
@@ -258,7 +269,7 @@
 }
 
 void Endpoints::keep(Call& call) {
-  if (!call.connection->reusable() || call.address != addresses_[call.endpoint]) return;
+  if (!call.connection->reusable() || call.address != peers_[call.endpoint].address) return;
   if (!rules_.mayKeep()) {
     const auto other = rules_.idleToGo(call.endpoint);
     if (!other) return;
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -24,13 +24,13 @@
   };
   Endpoints(boost::asio::io_context& io, Limits limits, Connections& rules, OnOutcome on_outcome);
 
-  void address(const std::string& endpoint, const std::string& address);  // as listed, new or changed
+  // As listed, new or changed. `apart`: a route of its own, which no wait of another route holds for.
+  void address(const std::string& endpoint, const std::string& address, bool apart = false);
   // `until`: no answer is waited for any longer, connecting included.
   void call(const TakenOn& m, int attempt, const std::string& endpoint, Deadline until);
   bool cancel(const std::string& id, int attempt);  // false: no such call is out from here
   void closeIdle(const std::string& endpoint);
-  void drained(
-      const std::string& endpoint);  // nothing new goes there: what waits for a connection is not sent
+  void drained(const std::string& endpoint);  // nothing new goes there: what is not written yet never is
   void closeAllIdle();
   std::vector<CallId> calls() const;  // those out
   void budgetChanged();
@@ -42,6 +42,10 @@
     std::unique_ptr<HttpConnection> connection;
     Micros since = 0;
   };
+  struct Peer {
+    std::string address;
+    bool apart = false;
+  };
   struct Call {
     enum class On { none, opening, open };  // whether it has a connection
     std::unique_ptr<HttpConnection> connection;
@@ -56,7 +60,8 @@
   bool start(const CallId& id, Call& call);  // false: it has to wait for a connection
   void wait(const CallId& id, Call& call);
   void startWaiting();
-  void withdrawWaiting(const std::function<bool(const Call&)>& which);
+  void withdrawUnwritten(const std::function<bool(const Call&)>& which);
+  void toldWait(const std::string& endpoint, std::int64_t destination);
   void letGo(Call& call);  // its connection's place in the budget
   void over(const CallId& id, const HttpAnswer& answer);
   void report(const CallId& id, Result result, Micros began);
@@ -68,7 +73,7 @@
   Limits limits_;
   Connections& rules_;
   OnOutcome on_outcome_;
-  std::map<std::string, std::string> addresses_;
+  std::map<std::string, Peer> peers_;             // by endpoint
   std::map<std::string, std::deque<Idle>> idle_;  // by endpoint, the freshest last
   std::map<CallId, Call> calls_;
   std::deque<CallId> waiting_;  // for a connection, the longest first
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -87,7 +87,10 @@
   for (const ListedEndpoint& l : news.entries) {
     u.endpoints.push_back(l.endpoint);
     destinations_.insert(l.endpoint.destination);
-    if (l.endpoint.state != EndpointState::gone) endpoints_.address(l.endpoint.id, l.address);
+    const bool apart = std::any_of(settings_.kinds.begin(), settings_.kinds.end(), [&](const Kind& k) {
+      return k.name == l.endpoint.kind && k.routes_apart;
+    });
+    if (l.endpoint.state != EndpointState::gone) endpoints_.address(l.endpoint.id, l.address, apart);
     if (l.endpoint.state == EndpointState::gone) endpoints_.closeIdle(l.endpoint.id);
     if (l.endpoint.state != EndpointState::ready) endpoints_.drained(l.endpoint.id);
   }
