Try what a restart finds untried: first, and never refused for want of room

Cause: resumed messages met the same table and queue as new ones. shed() refused those that would come late (one of many senders, all slots busy), and more than max_open were refused on arrival (logic.cpp). Change: a resumed message without a try is not shed, takes its place whatever max_open says, and goes before others of its destination. Test seen to fail without it. Ruled out: told waits as the main cause (no such message ended in the first turn with more than its time up).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -248,8 +248,7 @@
     const bool rare = many() && own < (limit > 0 ? kRare * limit : 2 / trafficSpan());
     const Micros must_by =
         m && m->attempts.empty() && rare ? m->end_at - static_cast<Micros>(usualLatency(s)) : kNever;
-    return apart(s) ? opens(s.guard, must_by)
-                    : std::max(opens(s.guard, must_by), opens(s.dest->guard, must_by));
+    return std::max(opens(s.guard, must_by), opens(s.dest->guard, must_by));  // apart: the latter never shuts
   }
 
   void charge(Guard& g, double limit, double own) {
@@ -502,6 +501,8 @@
     return true;
   }
 
+  static bool owedTry(const Message& m) { return m.resumed && m.attempts.empty(); }
+
   // A refusal promises that handing the message in again does no harm.
   bool mayRefuse(const Message& m) const {
     if (m.cls->effect == Effect::safe || !mayHaveRun(m)) return true;
@@ -665,7 +666,7 @@
   using Pick = std::pair<Message*, Server*>;
   Pick choose(Dest& d) {
     Pick best{nullptr, nullptr};
-    double best_loss = -1;
+    std::pair<bool, double> best_loss{false, -1};  // those that are owed a try first
     for (Server* s : d.servers) {
       const Micros later = usable(*s) ? opensAt(*s, nullptr) : now;
       if (later > now) next_wake = std::min(next_wake, later);
@@ -677,7 +678,8 @@
         continue;
       }
       if (!hasTurn(*m)) continue;
-      const double loss = worthAt(*m, now) - worthAt(*m, now + drain) + 1e-3 * worthAt(*m, now);
+      const std::pair<bool, double> loss{
+          owedTry(*m), worthAt(*m, now) - worthAt(*m, now + drain) + 1e-3 * worthAt(*m, now)};
       if (loss <= best_loss) continue;
       Server* s = chooseServer(d, *m);
       if (!s) continue;
@@ -820,16 +822,19 @@
   }
 
   void on(const Arrival& a) {
-    if (messages.count(a.id)) return;
-    const auto c = std::find_if(set.classes.begin(), set.classes.end(),
-                                [&](const MessageClass& k) { return k.name == a.message_class; });
-    if (c == set.classes.end()) {
-      acts.push_back(Fail{a.id});
-      return;
-    }
+    Message* m = take(a);
+    if (m && (open > set.max_open || !anySendLeft(*m))) giveUp(*m, true);
+  }
+
+  Message* take(const Arrival& a) {
+    const MessageClass* c = nullptr;
+    for (const MessageClass& k : set.classes)
+      if (k.name == a.message_class) c = &k;
+    if (!c) acts.push_back(Fail{a.id});
+    if (!c || messages.count(a.id)) return nullptr;
     Message& m = messages[a.id];
     m.id = a.id;
-    m.cls = &*c;
+    m.cls = c;
     for (std::size_t i = 0; i < set.tenants.size(); ++i)
       if (set.tenants[i].name == a.tenant) m.tenant = static_cast<int>(i);
     if (m.tenant >= 0) count(tenant_rate[static_cast<std::size_t>(m.tenant)]);
@@ -848,17 +853,17 @@
     ++open;
     ends.insert({m.end_at, m.id});
     hold(m, now);
-    if (open > set.max_open || !anySendLeft(m)) giveUp(m, true);
+    return &m;
   }
 
   // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard
   // may have run, and one that it still has out is waited for. Guards against a second effect after a
-  // restart.
+  // restart. What it never tried is tried: no place and no queue is too full for what was promised.
   void on(const Resumed& r) {
-    on(r.message);
-    auto it = messages.find(r.message.id);
-    if (it == messages.end()) return;
-    Message& m = it->second;
+    Message* found = take(r.message);
+    if (!found) return;
+    Message& m = *found;
+    m.resumed = true;
     for (const PastAttempt& p : r.attempts) {
       auto s = servers.find(p.endpoint);
       Server* server = s == servers.end() ? nullptr : &s->second;
@@ -887,7 +892,8 @@
     for (auto& [id, d] : backlog) {
       const Micros then = now + std::max(drainTime(*d), static_cast<Micros>(wait));
       for (Message* m : d->held)
-        if (mayRefuse(*m)) least.push_back({worthAt(*m, then) + 1e-3 * worthAt(*m, now), m->order, m});
+        if (mayRefuse(*m) && !owedTry(*m))
+          least.push_back({worthAt(*m, then) + 1e-3 * worthAt(*m, now), m->order, m});
     }
     std::sort(least.begin(), least.end());
     for (auto& [worth, order, m] : least) {
--- a/src/state.h
+++ b/src/state.h
@@ -90,7 +90,7 @@
   Micros handed_in = 0, end_at = 0, not_before = 0, aim = 0;
   std::uint64_t order = 0;
   std::vector<Attempt> attempts;
-  bool held = false, ended = false;
+  bool held = false, ended = false, resumed = false;
   int out = 0;
 };
 
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -142,6 +142,30 @@
   EXPECT_TRUE(rig.got<Refuse>().empty());  // it is left to the next process
 }
 
+// What a restart finds untried has been promised a try: with one slot, a table that is more than full and a
+// queue far longer than many senders' short one, none is refused for the room, and each goes as a slot comes.
+TEST(Restart, WhatWasNeverTriedIsTriedHoweverFullItIs) {
+  Settings s = makeSettings();
+  s.max_open = 8;
+  s.slots = 1;
+  s.senders = 300;
+  Rig rig(s);
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  std::vector<Event> events;
+  for (int i = 0; i < 20; ++i) events.push_back(resumed(rig, "m" + std::to_string(i), "safe", {}));
+  std::vector<std::string> sent = rig.run(events);
+  std::set<std::string> tried;
+  for (int turn = 0; turn < 100 && !sent.empty(); ++turn) {
+    tried.insert(sent.begin(), sent.end());
+    EXPECT_TRUE(rig.got<Refuse>().empty());
+    EXPECT_TRUE(rig.got<Fail>().empty());
+    rig.arrive("new" + std::to_string(turn), "safe", 1);  // those that come meanwhile take no place of theirs
+    sent = rig.at(rig.now + 50 * kMs).end(sent[0], 0, Result::ok);
+    for (int i = 0; i < 40 && sent.empty(); ++i) sent = rig.at(rig.now + 50 * kMs).wake();
+  }
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(1u, tried.count("m" + std::to_string(i))) << i;
+}
+
 TEST(Restart, MoreThanMayBeHeldIsRefusedOnArrival) {
   Settings s = makeSettings();
   s.max_open = 3;
