Let what a restart finds untried go before other destinations' messages

Change: destinations that owe a try to a resumed message are first in the order of tags. Test seen to fail without it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -143,13 +143,15 @@
     d.last_local -= d.period;
   }
 
-  // The order in which destinations may use a free slot: due local tags first, then global ones.
-  std::multimap<std::pair<bool, double>, Dest*> tagOrder() {
-    std::multimap<std::pair<bool, double>, Dest*> order;  // by its global tag?, the tag; ties stay in order
+  // The order in which destinations may use a free slot: due local tags first, then global ones. Those
+  // that owe a try to what a restart found come before all others: it has waited longest and has least time.
+  std::multimap<std::tuple<bool, bool, double>, Dest*> tagOrder() {
+    std::multimap<std::tuple<bool, bool, double>, Dest*> order;  // owes none, by its global tag?, the tag
     for (auto& [id, d] : backlog) {
       const Tag& t = d->tags.front();
       const bool due = t.local <= static_cast<double>(now);
-      if (d->blocked_at != now) order.insert({{!due, due ? t.local : t.global}, d});
+      const bool owes = std::any_of(d->held.begin(), d->held.end(), owedTry);
+      if (d->blocked_at != now) order.insert({{!owes, !due, due ? t.local : t.global}, d});
     }
     return order;
   }
@@ -501,7 +503,7 @@
     return true;
   }
 
-  static bool owedTry(const Message& m) { return m.resumed && m.attempts.empty(); }
+  static bool owedTry(const Message* m) { return m->resumed && m->attempts.empty(); }
 
   // A refusal promises that handing the message in again does no harm.
   bool mayRefuse(const Message& m) const {
@@ -559,14 +561,10 @@
     d.lost_idle = -1;
   }
 
-  Micros deadIdle() const {
-    const bool dead = dead_score > kDeadSigns / (many() ? 2 : 1) && now - dead_at < kSuspect * set.ramp_time;
-    return dead ? dead_least / 2 : kNever;
-  }
-
   Micros takeConnection(Server& s) {
     while (!s.idle.empty() && set.conn_idle > 0 && now - s.idle.front() >= set.conn_idle) s.idle.pop_front();
-    if (!s.idle.empty() && now - s.idle.front() >= deadIdle()) {
+    const bool dead = dead_score > kDeadSigns / (many() ? 2 : 1) && now - dead_at < kSuspect * set.ramp_time;
+    if (dead && !s.idle.empty() && now - s.idle.front() >= dead_least / 2) {
       acts.push_back(CloseIdle{s.id});
       s.idle.clear();
     }
@@ -679,7 +677,7 @@
       }
       if (!hasTurn(*m)) continue;
       const std::pair<bool, double> loss{
-          owedTry(*m), worthAt(*m, now) - worthAt(*m, now + drain) + 1e-3 * worthAt(*m, now)};
+          owedTry(m), worthAt(*m, now) - worthAt(*m, now + drain) + 1e-3 * worthAt(*m, now)};
       if (loss <= best_loss) continue;
       Server* s = chooseServer(d, *m);
       if (!s) continue;
@@ -712,7 +710,7 @@
           d->blocked_at = now;  // a start elsewhere opens nothing here
           continue;
         }
-        send(*p.first, *p.second, tag.first);
+        send(*p.first, *p.second, std::get<1>(tag));
         fillCall(*d, *p.second);
         more = true;
         break;
@@ -860,19 +858,18 @@
   // may have run, and one that it still has out is waited for. Guards against a second effect after a
   // restart. What it never tried is tried: no place and no queue is too full for what was promised.
   void on(const Resumed& r) {
-    Message* found = take(r.message);
-    if (!found) return;
-    Message& m = *found;
-    m.resumed = true;
+    Message* m = take(r.message);
+    if (!m) return;
+    m->resumed = true;
     for (const PastAttempt& p : r.attempts) {
       auto s = servers.find(p.endpoint);
       Server* server = s == servers.end() ? nullptr : &s->second;
       const Attempt a{server, p.sent, ++next_call, 0, p.out && server, p.may_have_run};
       if (a.out) ++server->out;
-      a.out ? track(m, a) : m.attempts.push_back(a);
+      a.out ? track(*m, a) : m->attempts.push_back(a);
     }
-    if (m.out > 0) return unhold(m, false);
-    if (!anySendLeft(m)) giveUp(m, now < m.end_at);
+    if (m->out > 0) return unhold(*m, false);
+    if (!anySendLeft(*m)) giveUp(*m, now < m->end_at);
   }
 
   // Near MaxOpen the least worth is refused, so that better messages are not turned away at the door. Worth
@@ -892,7 +889,7 @@
     for (auto& [id, d] : backlog) {
       const Micros then = now + std::max(drainTime(*d), static_cast<Micros>(wait));
       for (Message* m : d->held)
-        if (mayRefuse(*m) && !owedTry(*m))
+        if (mayRefuse(*m) && !owedTry(m))
           least.push_back({worthAt(*m, then) + 1e-3 * worthAt(*m, now), m->order, m});
     }
     std::sort(least.begin(), least.end());
@@ -950,10 +947,7 @@
   }
 
   void askForList() {
-    if (ask_at > now) {
-      next_wake = std::min(next_wake, ask_at);
-      return;
-    }
+    if (ask_at > now) return void(next_wake = std::min(next_wake, ask_at));
     acts.push_back(Watch{});
     ask_at = kNever;
   }
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -166,6 +166,26 @@
   for (int i = 0; i < 20; ++i) EXPECT_EQ(1u, tried.count("m" + std::to_string(i))) << i;
 }
 
+// It goes before what has come to other destinations since, too: there a busy sender's slots would go.
+TEST(Restart, WhatWasNeverTriedGoesBeforeOtherDestinations) {
+  Settings s = makeSettings();
+  s.slots = 1;
+  Rig rig(s);
+  rig.at(100 * kS).list({makeEndpoint("e", 1), makeEndpoint("f", 2)});
+  std::vector<Event> events;
+  for (int i = 0; i < 5; ++i) events.push_back(resumed(rig, "m" + std::to_string(i), "safe", {}));
+  for (int i = 0; i < 5; ++i) events.push_back(rig.arrival("new" + std::to_string(i), "unsafe", 2));
+  std::vector<std::string> sent = rig.run(events), order;
+  for (int i = 0; i < 200 && order.size() < 10; ++i) {
+    order.insert(order.end(), sent.begin(), sent.end());
+    rig.at(rig.now + 50 * kMs);
+    sent = sent.empty() ? rig.wake() : rig.end(sent[0], 0, Result::ok);
+  }
+  ASSERT_EQ(10u, order.size());
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ('m', order[static_cast<std::size_t>(i)][0]) << order[static_cast<std::size_t>(i)];
+}
+
 TEST(Restart, MoreThanMayBeHeldIsRefusedOnArrival) {
   Settings s = makeSettings();
   s.max_open = 3;
