Heed a told wait from the head of its answer on, called off, cut off or handed over

Cause, each shown by a test that fails without it: a 429 whose body is late or never ends was heard at the time- out, one that was cut off never (endpoints.cpp, over); calling a call off closed its connection with the answer unread in the socket (cancel); an outcome that an older process sent over was heard after the new one's first turn (service.cpp, own; host.cpp, recover) and did not reach its calls that were being opened; one of an endpoint that had left the list was dropped with its wait (host.cpp, unknown_out_). From reading, found on the way: a call whose outcome was queued counted as over, so that a process could leave before it had passed it on. Change: the head tells the wait as an event of its own, over the link too; a call that is called off is ended as one out of time is, and one never written never ran; what was heard before the first turn is in it; an endpoint that left the list is given to the module as gone. A restart ends waits, as the protocol says; a handover not. Ruled out: holding calls back in the network code alone; the module would decide without knowing of the wait.

--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -133,7 +133,8 @@
   int attempt = 0;
   Result result = Result::ok;
   bool finished = false;
-  Micros wait = 0;  // full: nothing to this destination for so long; 0: none told
+  bool still_out = false;  // no outcome yet, just the wait that its answer has told
+  Micros wait = 0;         // full: nothing to this destination for so long; 0: none told
   Micros rtt = 0;
   std::optional<LimitReport> report;
 };
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -736,6 +736,8 @@
     if (o.attempt < 0 || o.attempt >= static_cast<int>(m.attempts.size())) return;
     Attempt& a = m.attempts[static_cast<std::size_t>(o.attempt)];
     if (!a.out) return;
+    Micros& until = scope(*a.server).wait_until;
+    if (o.still_out) return void(until = std::max(until, now + o.wait));
     settle(m, a);
     if (o.result == Result::ok || o.result == Result::error || o.result == Result::full)
       keepConnection(*a.server);
--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -45,8 +45,9 @@
   return v;
 }
 
+// Told by the head alone: it counts whatever becomes of the body.
 Micros waitOf(const HttpAnswer& a) {
-  const std::string* told = a.field("retry-after");
+  const std::string* told = a.status == 429 || a.status == 503 ? a.field("retry-after") : nullptr;
   const auto seconds = told ? numberIn(*told) : std::nullopt;
   if (!seconds || *seconds <= 0) return 0;
   return static_cast<Micros>(std::ceil(std::min(*seconds * 1e6, static_cast<double>(kLongestWait))));
@@ -101,7 +102,8 @@
     idle.pop_back();
   }
   call.address = peers_[call.endpoint].address;
-  std::function<void()> connected;
+  HttpConnection::Heard heard;
+  heard.head = [this, id](const HttpAnswer& a) { headOf(id, a); };
   if (!call.connection) {
     if (const auto other = rules_.idleToCloseFor(call.endpoint)) closeOldest(*other);
     if (!rules_.mayOpen(call.endpoint)) return false;
@@ -115,7 +117,7 @@
     }
     rules_.opening(call.endpoint);
     call.on = Call::On::opening;
-    connected = [this, id] {
+    heard.connected = [this, id] {
       Call& c = calls_.at(id);
       rules_.opened(c.endpoint);
       c.on = Call::On::open;
@@ -134,7 +136,7 @@
   r.body = std::move(m.body);
   call.connection->exchange(
       std::move(r), std::max<Micros>(0, limits_.dial_timeout - waited), call.until,
-      [this, id](const HttpAnswer& a) { over(id, a); }, std::move(connected));
+      [this, id](const HttpAnswer& a) { over(id, a); }, std::move(heard));
   return true;
 }
 
@@ -203,8 +205,10 @@
   o.id = id.first;
   o.attempt = id.second;
   o.result = resultOf(answer);
+  if (o.result == Result::timeout && it->second.called_off) o.result = Result::cancelled;
   o.finished = answer.how == Exchanged::answered && (answer.status == 200 || answer.status == 410);
   if (o.result == Result::full) o.wait = waitOf(answer);
+  else headOf(id, answer);  // cut off, or late: it may have run, and told a wait all the same
   o.rtt = std::max<Micros>(1, monotonicNow() - it->second.began);
   o.report = reportOf(answer);
   // The module keeps its own count of idle connections: one is kept after the same outcomes as there.
@@ -218,8 +222,25 @@
   on_outcome_(std::move(o));
 }
 
+// The body may be late, or never end: a wait counts from here on, not from the outcome.
+void Endpoints::headOf(const CallId& id, const HttpAnswer& head) {
+  const auto it = calls_.find(id);
+  const Micros wait = it == calls_.end() ? 0 : waitOf(head);
+  if (wait <= 0 || it->second.wait_heard) return;
+  it->second.wait_heard = true;
+  toldWait(it->second.endpoint, it->second.destination);
+  Outcome o;
+  o.id = id.first;
+  o.attempt = id.second;
+  o.still_out = true;
+  o.wait = wait;
+  on_outcome_(std::move(o));
+}
+
 void Endpoints::report(const CallId& id, Result result, Micros began) {
+  untold_.insert(id);
   asio::post(io_, [this, id, result, began] {
+    untold_.erase(id);
     Outcome o;
     o.id = id.first;
     o.attempt = id.second;
@@ -229,20 +250,27 @@
   });
 }
 
+// What has been written may have been answered: its connection tells that before it is closed.
 bool Endpoints::cancel(const std::string& id, int attempt) {
   auto it = calls_.find({id, attempt});
-  if (it == calls_.end()) return false;
-  const Micros began = it->second.began;
-  letGo(it->second);
-  calls_.erase(it);  // closes the connection
+  if (it == calls_.end()) return untold_.count({id, attempt}) > 0;
+  Call& call = it->second;
+  if (call.connection && call.connection->written()) {
+    call.called_off = true;
+    call.connection->callOff();
+    return true;
+  }
+  report(it->first, Result::not_sent, call.began);
+  letGo(call);
+  calls_.erase(it);
   startWaiting();
-  report({id, attempt}, Result::cancelled, began);
   return true;
 }
 
 std::vector<Endpoints::CallId> Endpoints::calls() const {
   std::vector<CallId> out;
   for (const auto& [id, call] : calls_) out.push_back(id);
+  out.insert(out.end(), untold_.begin(), untold_.end());
   return out;
 }
 
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "clocks.h"
 #include "connections.h"
@@ -28,13 +29,16 @@
   void address(const std::string& endpoint, const std::string& address, bool apart = false);
   // `until`: no answer is waited for any longer, connecting included.
   void call(const TakenOn& m, int attempt, const std::string& endpoint, Deadline until);
-  bool cancel(const std::string& id, int attempt);  // false: no such call is out from here
+  // False: no such call is out from here. What its answer has told by then still counts.
+  bool cancel(const std::string& id, int attempt);
   void closeIdle(const std::string& endpoint);
   void drained(const std::string& endpoint);  // nothing new goes there: what is not written yet never is
   void closeAllIdle();
-  std::vector<CallId> calls() const;  // those out
+  // A wait that another process was told: what is not written yet heeds it.
+  void toldWait(const std::string& endpoint, std::int64_t destination);
+  std::vector<CallId> calls() const;  // those out, or with an outcome that is still to be told
   void budgetChanged();
-  std::size_t out() const { return calls_.size(); }
+  std::size_t out() const { return calls_.size() + untold_.size(); }
   std::size_t idle() const { return rules_.idleCalls(); }
 
  private:
@@ -56,12 +60,13 @@
     Micros began = 0;
     Deadline until;
     On on = On::none;
+    bool called_off = false, wait_heard = false;
   };
   bool start(const CallId& id, Call& call);  // false: it has to wait for a connection
   void wait(const CallId& id, Call& call);
   void startWaiting();
   void withdrawUnwritten(const std::function<bool(const Call&)>& which);
-  void toldWait(const std::string& endpoint, std::int64_t destination);
+  void headOf(const CallId& id, const HttpAnswer& head);
   void letGo(Call& call);  // its connection's place in the budget
   void over(const CallId& id, const HttpAnswer& answer);
   void report(const CallId& id, Result result, Micros began);
@@ -76,6 +81,7 @@
   std::map<std::string, Peer> peers_;             // by endpoint
   std::map<std::string, std::deque<Idle>> idle_;  // by endpoint, the freshest last
   std::map<CallId, Call> calls_;
+  std::set<CallId> untold_;     // over, and its outcome is queued
   std::deque<CallId> waiting_;  // for a connection, the longest first
   boost::asio::steady_timer sweeper_;
   bool sweeping_ = false;
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -29,7 +29,7 @@
       turn_timer_(io),
       wake_timer_(io) {}
 
-void Host::recover(const json& known, const std::set<CallId>& out, Micros began) {
+void Host::recover(const json& known, const std::set<CallId>& out, Micros began, bool waits_hold) {
   const Journal::Recovered& r = journal_.recovered();
   // The newer of the two lists: a drain that was heard before the restart still counts.
   json list = known;
@@ -41,7 +41,10 @@
     news.kind = ListKind::cached;
     takeList(news);
   }
-  for (const Ailment& a : r.ailments) events_.push_back(a);
+  for (Ailment a : r.ailments) {
+    if (!waits_hold) a.wait_until = 0;
+    add(std::move(a));
+  }
   for (const Journal::Entry& e : r.entries) {
     if (e.ended) {
       notices_.owe(e.message.id, e.notice);
@@ -49,7 +52,6 @@
     }
     Held& h = held_[e.message.id];
     h.message = e.message;
-    h.attempts = static_cast<int>(e.attempts.size());
     Resumed m;
     m.message.id = e.message.id;
     m.message.message_class = e.message.message_class;
@@ -60,16 +62,22 @@
     m.message.repeat = true;
     for (const JournaledAttempt& a : e.attempts) {
       const CallId call{m.message.id, static_cast<int>(m.attempts.size())};
-      const bool still_out = !a.never_ran && out.count(call) > 0, listed = list_.has(a.endpoint);
-      if (still_out && !listed) unknown_out_.insert(call);
-      m.attempts.push_back({a.endpoint, a.sent, !a.never_ran, still_out && listed});
+      const bool still_out = !a.never_ran && out.count(call) > 0;
+      if (still_out && !list_.has(a.endpoint)) {  // it left the list: its outcome and its wait still count
+        Endpoint gone;
+        gone.id = a.endpoint;
+        gone.destination = e.message.destination;
+        gone.state = EndpointState::gone;
+        add(ListUpdate{ListKind::delta, {gone}});
+      }
+      h.attempts.push_back(a.endpoint);
+      m.attempts.push_back({a.endpoint, a.sent, !a.never_ran, still_out});
     }
-    events_.push_back(std::move(m));
+    add(std::move(m));
   }
   std::cerr << "journal: " << held_.size() << " messages resumed, " << notices_.owed() << " notices owed; "
             << r.found << "; " << (monotonicNow() - began) / 1000 << " ms\n";
   journal_.forgetRecovered();
-  if (!events_.empty()) turn();
 }
 
 std::int64_t Host::list(const json& answer) {
@@ -132,12 +140,11 @@
 
 void Host::outcome(Outcome o) {
   auto it = held_.find(o.id);
-  if (unknown_out_.erase({o.id, o.attempt}) > 0) {
-    if (it == held_.end() || !o.finished) return;
-    journal_.over(o.id);
-    held_.erase(it);
-    return add(Gone{o.id});
-  }
+  // One that another process heard: this one's calls heed its wait, too.
+  if (o.wait > 0 && it != held_.end() && o.attempt < static_cast<int>(it->second.attempts.size()))
+    endpoints_.toldWait(it->second.attempts[static_cast<std::size_t>(o.attempt)],
+                        it->second.message.destination);
+  if (o.still_out) return add(std::move(o));
   if (it != held_.end()) {
     if (o.finished) {
       journal_.over(o.id);
@@ -163,13 +170,13 @@
   const Micros due = last_turn_ + settings_.tick - monotonicNow();
   if (due <= 0) {
     asio::post(io_, [this] {
-      if (turn_due_) turn();
+      if (turn_due_ && !retired_) turn();
     });
     return;
   }
   turn_timer_.expires_after(std::chrono::microseconds(due));
   turn_timer_.async_wait([this](const boost::system::error_code& e2) {
-    if (!e2 && turn_due_) turn();
+    if (!e2 && turn_due_ && !retired_) turn();
   });
 }
 
@@ -197,7 +204,8 @@
     auto it = held_.find(s->id);
     if (it == held_.end()) continue;
     journal_.attempted(s->id, {s->endpoint, monotonicNow(), false});
-    sends.emplace_back(s, it->second.attempts++);
+    sends.emplace_back(s, static_cast<int>(it->second.attempts.size()));
+    it->second.attempts.push_back(s->endpoint);
   }
   const bool kept = journal_.flush();
   if (!kept) std::cerr << "journal: could not be written\n";
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -25,7 +25,9 @@
 
   // Takes over what the journal and the configuration know: before clients are served. `out`: calls that are
   // still out, here or from another process; each gets its outcome(). `began`: when reading the journal did.
-  void recover(const json& known, const std::set<CallId>& out, Micros began);
+  // `waits_hold`: waits told before do; a restart ends them. Outcomes that are handed in at once after this
+  // are heard in the same turn.
+  void recover(const json& known, const std::set<CallId>& out, Micros began, bool waits_hold);
   void retire();  // decides what is pending and writes it down; from then on another host decides
   std::int64_t list(const json& answer);  // discovery's answer; gives the version to go on from
   std::int64_t version() const { return list_.index(); }
@@ -39,8 +41,8 @@
  private:
   struct Held {  // taken on and not over
     TakenOn message;
-    int attempts = 0;
-    Clients::Reply reply;  // not answered yet
+    std::vector<std::string> attempts;  // the endpoint of each
+    Clients::Reply reply;               // not answered yet
   };
   void add(Event e);
   void turn();
@@ -58,8 +60,7 @@
   CancelElsewhere cancel_elsewhere_;
   EndpointList list_;
   std::map<std::string, Held> held_;
-  std::set<std::string> fresh_;   // arrived since the last turn
-  std::set<CallId> unknown_out_;  // calls out to an endpoint that left the list: the module can't know them
+  std::set<std::string> fresh_;  // arrived since the last turn
   std::set<std::int64_t> destinations_;
   std::vector<Event> events_;
   std::multiset<Micros> wakes_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -47,14 +47,14 @@
   std::size_t sent = 0;  // of them, taken by the kernel
   std::optional<http::response_parser<http::string_body>> parser;
   Done done;
-  std::function<void()> connected;
+  Heard heard;
   std::uint64_t turn = 0;    // exchanges begun or over: what belongs to an earlier one is ignored
   std::uint64_t timing = 0;  // settings of the timer: one that was set anew may have its handler queued
   bool open = false, written = false, header = false, keep = false, out_of_time = false;
   Deadline until;
   std::string time_left_field;
 
-  void begin(HttpRequest r, Micros connect_limit, Deadline u, Done d, std::function<void()> c) {
+  void begin(HttpRequest r, Micros connect_limit, Deadline u, Done d, Heard h) {
     request = {};
     request.version(11);
     request.method_string(r.method);
@@ -68,7 +68,7 @@
     parser->body_limit(body_limit);
     parser->header_limit(kHeaderLimit);
     done = std::move(d);
-    connected = std::move(c);
+    heard = std::move(h);
     written = header = keep = out_of_time = false;
     const std::uint64_t mine = ++turn;
     until = u;
@@ -86,7 +86,7 @@
       if (mine != self->turn) return;
       if (e) return self->finish(Exchanged::not_written);
       self->open = true;
-      if (self->connected) self->connected();
+      if (self->heard.connected) self->heard.connected();
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
       self->setTimer(mine, self->until.left(monotonicNow()));
@@ -148,6 +148,8 @@
           if (self->out_of_time && (!e || e == asio::error::operation_aborted))
             return self->takeWhatIsThere();
           if (e) return self->finish(self->delivered() ? Exchanged::answered : Exchanged::broken);
+          if (!self->bodyIsHere() && self->heard.head) self->heard.head(self->soFar());
+          if (mine != self->turn) return;
           http::async_read(self->socket, self->in, *self->parser, [self, mine](error_code e2, std::size_t) {
             if (mine != self->turn) return;
             if (e2 == asio::error::operation_aborted) return self->takeWhatIsThere();
@@ -173,6 +175,22 @@
     finish(Exchanged::answered, whole);
   }
 
+  bool bodyIsHere() const {
+    const auto left = parser->content_length_remaining();
+    return parser->is_done() || (left && in.size() >= *left);
+  }
+
+  HttpAnswer soFar() const {
+    HttpAnswer a;
+    const auto& m = parser->get();
+    a.how = Exchanged::answered;
+    a.status = m.result_int();
+    a.body = m.body();
+    for (const auto& f : m)
+      a.fields.emplace_back(lower(std::string(f.name_string())), std::string(f.value()));
+    return a;
+  }
+
   // A whole first line that says 200 is true, whatever follows it.
   bool delivered() const { return parser->get().result_int() == 200; }
 
@@ -180,19 +198,13 @@
     ++turn;
     timer.cancel();
     HttpAnswer a;
+    if (how == Exchanged::answered) a = soFar();
     a.how = how;
-    if (how == Exchanged::answered) {
-      const auto& m = parser->get();
-      a.status = m.result_int();
-      a.whole = whole;
-      a.body = m.body();
-      for (const auto& f : m)
-        a.fields.emplace_back(lower(std::string(f.name_string())), std::string(f.value()));
-    }
+    a.whole = whole;
     if (!keep) close();
     Done d = std::move(done);
     done = nullptr;
-    connected = nullptr;
+    heard = {};
     if (d) d(a);
   }
 
@@ -211,14 +223,14 @@
 HttpConnection::~HttpConnection() {
   ++state_->turn;
   state_->done = nullptr;
-  state_->connected = nullptr;
+  state_->heard = {};
   state_->timer.cancel();
   state_->close();
 }
 
 void HttpConnection::exchange(HttpRequest request, Micros connect_limit, Deadline until, Done done,
-                              std::function<void()> connected) {
-  state_->begin(std::move(request), connect_limit, until, std::move(done), std::move(connected));
+                              Heard heard) {
+  state_->begin(std::move(request), connect_limit, until, std::move(done), std::move(heard));
 }
 
 // What the other side has closed, or sent unasked, shows as something to read. Guards against a request
@@ -233,6 +245,8 @@
   return e == asio::error::would_block;
 }
 
+void HttpConnection::callOff() { state_->setTimer(state_->turn, 0); }
+
 bool HttpConnection::written() const { return state_->written; }
 
 tcp::endpoint parseAddress(const std::string& address) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -42,15 +42,20 @@
 class HttpConnection {
  public:
   using Done = std::function<void(const HttpAnswer&)>;
+  // Connected: a connection that had to be opened is up, and the request not written yet. Head: that of the
+  // answer has come, and its body is still on the way.
+  struct Heard {
+    std::function<void()> connected;
+    Done head;
+  };
   HttpConnection(boost::asio::io_context& io, tcp::endpoint peer, std::string host, std::size_t body_limit);
   ~HttpConnection();  // closes it; an exchange under way is called off and its Done never called
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
-  // Done is called once, from the event loop, never from within this call. Connected: once a connection that
-  // had to be opened is up, before the request is written.
-  void exchange(HttpRequest request, Micros connect_limit, Deadline until, Done done,
-                std::function<void()> connected = nullptr);
+  // Done is called once, from the event loop, never from within this call.
+  void exchange(HttpRequest request, Micros connect_limit, Deadline until, Done done, Heard heard = {});
+  void callOff();         // its time is up now: Done gets the answer that is in the socket, or that none came
   bool reusable() const;  // open, idle, and not closed from the other side
   bool written() const;   // the last byte of the exchange under way is the kernel's
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -33,6 +33,7 @@
          {"attempt", o.attempt},
          {"result", static_cast<int>(o.result)},
          {"finished", o.finished},
+         {"still_out", o.still_out},
          {"wait", o.wait},
          {"rtt", o.rtt}};
   if (o.report) j["report"] = {o.report->left, o.report->limit};
@@ -47,6 +48,7 @@
   if (result < 0 || result > static_cast<int>(Result::not_sent)) bad("not a result");
   o.result = static_cast<Result>(result);
   o.finished = truth(j, "finished");
+  o.still_out = truth(j, "still_out", false);
   o.wait = integer(j, "wait");
   o.rtt = integer(j, "rtt");
   if (!absent(j, "report")) {
@@ -83,7 +85,7 @@
         clients(s.io_, listenForClients(s.io_, s.config_), s.connections_,
                 [this](TakenOn m, Clients::Reply r) { host.put(std::move(m), std::move(r)); }),
         next(s.io_, s.config_.scratch, [&s](std::shared_ptr<Link> l) { s.yieldTo(std::move(l)); }) {
-    host.recover(s.config_.known, out, began);
+    host.recover(s.config_.known, out, began, s.replaces_);
     watcher.start(host.version());
   }
 
@@ -195,6 +197,7 @@
   older_ = connectLink(io_, config_.scratch);
   older_released_ = false;
   if (!older_) return;
+  replaces_ = true;
   changeBudget(budget());
   older_->start([this](const json& m) { onOlderMessage(m); }, [this] { onOlderEnd(); });
 }
@@ -213,6 +216,7 @@
     for (Outcome& o : *heard) serving_->host.outcome(std::move(o));
     heard->clear();
   }
+  replaces_ = true;
   operators_drain_ ? serving_->clients.drain() : serving_->clients.undrain();
   if (older_) older_->send({{"serving", true}});
   std::cerr << "ready\n";
@@ -275,7 +279,8 @@
   }
   if (absent(message, "outcome")) return;
   Outcome o = outcomeFromJson(field(message, "outcome"));
-  if (elsewhere_.erase({o.id, o.attempt}) == 0) return;
+  if (elsewhere_.count({o.id, o.attempt}) == 0) return;
+  if (!o.still_out) elsewhere_.erase({o.id, o.attempt});
   if (serving_) return serving_->host.outcome(std::move(o));
   early_.push_back(std::move(o));
 }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -84,8 +84,8 @@
   bool operators_drain_ = false, looking_ = false, over_ = false;
 
   std::shared_ptr<Link> older_;
-  bool older_released_ = false;
-  std::set<CallId> elsewhere_;  // calls that the older process has out
+  bool older_released_ = false, replaces_ = false;  // replaces_: an older process served, or this one has
+  std::set<CallId> elsewhere_;                      // calls that the older process has out
   std::vector<Outcome> early_;  // of those that ended before this process owned the journal
 
   std::shared_ptr<Link> newer_;
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -333,6 +333,58 @@
   }
 }
 
+// An answer that told a wait in its head, and then is late, never ends or is cut off, told it all the same:
+// at once, for what is about to go out, and whatever becomes of the call.
+TEST(Endpoints, AWaitIsHeardWithTheHeadOfItsAnswer) {
+  const std::string head = "HTTP/1.1 429 Slow\r\nRetry-After: 9\r\nContent-Length: 10\r\n\r\nhalf";
+  for (const bool cut : {false, true}) {
+    Server s([&](const Seen&) { return Act{head, cut}; });
+    Stuck stuck;
+    Pool p;
+    p.endpoints.address("e", stuck.listener.address());
+    p.endpoints.address("told", s.address());
+    p.endpoints.call(p.message("m"), 0, "e", within(60'000'000));
+    p.endpoints.call(p.message("told"), 0, "told", within(60'000'000));
+    p.waitFor(2);
+    std::map<std::string, Outcome> by;
+    for (const Outcome& o : p.outcomes) by[o.id] = o;
+    EXPECT_EQ(Result::not_sent, by["m"].result);
+    EXPECT_TRUE(by["told"].still_out);
+    EXPECT_EQ(9'000'000, by["told"].wait);
+    if (!cut) p.endpoints.cancel("told", 0);
+    const Outcome end = p.waitFor(p.outcomes.size() + 1);
+    EXPECT_FALSE(end.still_out);
+    EXPECT_EQ(Result::error, end.result);  // what can't be read may have run
+  }
+}
+
+// The answer is in the socket as the call is called off: it is what became of the call.
+TEST(Endpoints, AnAnswerThatCrossesTheCallingOffCounts) {
+  Server s([](const Seen&) { return Act{answer("429 Slow", "Retry-After: 9\r\n")}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  p.endpoints.call(p.message("m"), 0, "e", within(60'000'000));
+  while (s.seen().empty()) p.io.run_one_for(std::chrono::milliseconds(1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));  // time for the answer to arrive: unread
+  p.endpoints.cancel("m", 0);
+  const Outcome o = p.waitFor(1);
+  EXPECT_EQ(Result::full, o.result);
+  EXPECT_EQ(9'000'000, o.wait);
+}
+
+// What was never written can't have run, called off or not.
+TEST(Endpoints, ACallWithoutAConnectionThatIsCalledOffNeverRan) {
+  Stuck stuck;
+  Pool p;
+  p.endpoints.address("e", stuck.listener.address());
+  p.endpoints.call(p.message("m"), 0, "e", within(60'000'000));
+  EXPECT_TRUE(p.endpoints.cancel("m", 0));
+  EXPECT_EQ(1u, p.endpoints.out());  // its outcome is still to be told
+  EXPECT_EQ(1u, p.endpoints.calls().size());
+  EXPECT_EQ(Result::not_sent, p.waitFor(1).result);
+  EXPECT_EQ(0u, p.endpoints.out());
+}
+
 // Where routes are apart, a wait holds for the route that told it, and for no other.
 TEST(Endpoints, AWaitOfARouteApartHoldsForThatRouteAlone) {
   Server s([](const Seen&) { return Act{answer("429 Slow", "Retry-After: 9\r\n")}; });
--- a/tests/net_upgrade_test.cpp
+++ b/tests/net_upgrade_test.cpp
@@ -191,6 +191,38 @@
   EXPECT_GE(next_call - told, 2'500'000);
 }
 
+// The old process hears the wait after it has handed over, in an answer that never ends; the new one has a
+// call to the same destination whose connection is yet to come up, and more to send.
+TEST(Upgrade, AWaitThatTheOldProcessHearsHoldsForTheNewProcessesCalls) {
+  Upgrade u;
+  std::atomic<int> late{0};
+  std::atomic<bool> answered{false};
+  u.script = [&](const Seen& s) {
+    if (s.field("X-Txn") == "old") {
+      answered = true;
+      return Act{"HTTP/1.1 429 Full\r\nRetry-After: 3\r\nContent-Length: 9\r\n\r\nhalf"};
+    }
+    late += answered;
+    return Act{answer("200 OK")};
+  };
+  auto old = u.start();
+  ASSERT_TRUE(u.agent.waitForWatch(0));
+  u.hold();
+  ASSERT_EQ("+OK", Client(u.passed.port).put("old", "notice", 7));
+  ASSERT_TRUE(u.endpoint.waitFor(1));
+  auto next = u.start();
+  ASSERT_EQ("+OK", Client(u.passed.port).put("before", "notice", 7));  // by the new process, which serves now
+  ASSERT_TRUE(u.endpoint.waitFor(2));
+  u.let();
+  ASSERT_TRUE(eventually([&] { return answered.load(); }));
+  std::this_thread::sleep_for(300ms);  // long past what the protocol lets through
+  const std::size_t seen = u.endpoint.seen().size();
+  const auto from = std::chrono::steady_clock::now();
+  ASSERT_EQ("+OK", Client(u.passed.port).put("after", "notice", 7));
+  ASSERT_TRUE(u.endpoint.waitFor(seen + 1));
+  EXPECT_GE(std::chrono::steady_clock::now() - from, 2s);
+}
+
 // One that holds the journal and does nothing any more can't be waited for.
 TEST(Upgrade, AProcessThatHangsIsReplaced) {
   Upgrade u;
