Write no call to a connection that its endpoint closed after it was chosen

Cause: an idle connection is looked at when it is chosen (endpoints.cpp, start) and written to one turn of the loop later (http.cpp, begin); a close in between made the call a reset that may have run, which loses a message that must not repeat and marks its destination as failing. Change: it is looked at once more right before the first byte; if it is closed the call goes on another one. A close that is on its way as the first byte is written stays a reset: that cannot be told from here. Ruled out: writing in the same turn as choosing; a wait or drain heard in between could not stop the call.

--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -126,14 +126,14 @@
   }
   const Micros waited = call.patience ? monotonicNow() - call.began : 0;
   call.patience.reset();
-  TakenOn m = std::move(call.message);
+  const TakenOn& m = call.message;
   HttpRequest r;
   r.method = "POST";
   r.target = "/hook";
   r.fields.emplace_back("X-Txn", m.id);
   if (!m.idempotency_key.empty()) r.fields.emplace_back("Idempotency-Key", m.idempotency_key);
   r.time_left_field = "X-Remaining-Ms";
-  r.body = std::move(m.body);
+  r.body = m.body;
   call.connection->exchange(
       std::move(r), std::max<Micros>(0, limits_.dial_timeout - waited), call.until,
       [this, id](const HttpAnswer& a) { over(id, a); }, std::move(heard));
@@ -180,6 +180,12 @@
   }
 }
 
+std::vector<std::string> Endpoints::known() const {
+  std::vector<std::string> names;
+  for (const auto& [endpoint, peer] : peers_) names.push_back(endpoint);
+  return names;
+}
+
 void Endpoints::drained(const std::string& endpoint) {
   withdrawUnwritten([&](const Call& c) { return c.endpoint == endpoint; });
   startWaiting();
@@ -201,6 +207,12 @@
 void Endpoints::over(const CallId& id, const HttpAnswer& answer) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
+  if (answer.stale && !it->second.called_off) {  // nothing of it was written: it goes on another connection
+    letGo(it->second);
+    it->second.connection.reset();
+    if (!start(id, it->second)) wait(id, it->second);
+    return;
+  }
   Outcome o;
   o.id = id.first;
   o.attempt = id.second;
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -32,6 +32,7 @@
   // False: no such call is out from here. What its answer has told by then still counts.
   bool cancel(const std::string& id, int attempt);
   void closeIdle(const std::string& endpoint);
+  std::vector<std::string> known() const;     // those with an address so far
   void drained(const std::string& endpoint);  // nothing new goes there: what is not written yet never is
   void closeAllIdle();
   // A wait that another process was told: what is not written yet heeds it.
@@ -55,7 +56,7 @@
     std::unique_ptr<HttpConnection> connection;
     std::unique_ptr<boost::asio::steady_timer> patience;  // while it waits for one
     std::string endpoint, address;
-    TakenOn message;  // while it waits for one
+    TakenOn message;
     std::int64_t destination = 0;
     Micros began = 0;
     Deadline until;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -51,6 +51,7 @@
   std::uint64_t turn = 0;    // exchanges begun or over: what belongs to an earlier one is ignored
   std::uint64_t timing = 0;  // settings of the timer: one that was set anew may have its handler queued
   bool open = false, written = false, header = false, keep = false, out_of_time = false;
+  bool reused = false;  // not opened for this exchange
   Deadline until;
   std::string time_left_field;
 
@@ -74,6 +75,7 @@
     until = u;
     time_left_field = std::move(r.time_left_field);
     const Micros left = until.left(monotonicNow());
+    reused = open;
     if (open) {
       setTimer(mine, left);
       asio::post(socket.get_executor(), [self = shared_from_this(), mine] {
@@ -113,6 +115,7 @@
   void write(std::uint64_t mine) {
     const Micros left = until.left(monotonicNow());
     if (left <= 0) return finish(Exchanged::not_written);
+    if (reused && !quiet()) return finish(Exchanged::not_written, false, true);
     if (!time_left_field.empty()) request.set(time_left_field, std::to_string(left / 1000));
     std::ostringstream all;
     all << request;
@@ -194,13 +197,24 @@
   // A whole first line that says 200 is true, whatever follows it.
   bool delivered() const { return parser->get().result_int() == 200; }
 
-  void finish(Exchanged how, bool whole = false) {
+  // Open, and with nothing to read: what the other side has closed, or sent unasked, shows so.
+  bool quiet() {
+    char c;
+    error_code e;
+    socket.non_blocking(true, e);
+    if (e) return false;
+    socket.receive(asio::buffer(&c, 1), tcp::socket::message_peek, e);
+    return e == asio::error::would_block;
+  }
+
+  void finish(Exchanged how, bool whole = false, bool stale = false) {
     ++turn;
     timer.cancel();
     HttpAnswer a;
     if (how == Exchanged::answered) a = soFar();
     a.how = how;
     a.whole = whole;
+    a.stale = stale;
     if (!keep) close();
     Done d = std::move(done);
     done = nullptr;
@@ -233,17 +247,8 @@
   state_->begin(std::move(request), connect_limit, until, std::move(done), std::move(heard));
 }
 
-// What the other side has closed, or sent unasked, shows as something to read. Guards against a request
-// written to a connection that is gone: it would end as a reset and might have run.
-bool HttpConnection::reusable() const {
-  if (!state_->open || state_->done) return false;
-  char c;
-  error_code e;
-  state_->socket.non_blocking(true, e);
-  if (e) return false;
-  state_->socket.receive(asio::buffer(&c, 1), tcp::socket::message_peek, e);
-  return e == asio::error::would_block;
-}
+// Guards against a request written to a connection that is gone: it would end as a reset and might have run.
+bool HttpConnection::reusable() const { return state_->open && !state_->done && state_->quiet(); }
 
 void HttpConnection::callOff() { state_->setTimer(state_->turn, 0); }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -34,6 +34,7 @@
   Exchanged how = Exchanged::not_written;
   int status = 0;
   bool whole = false;  // the body came too
+  bool stale = false;  // not written, as the other side had closed a connection that was used before
   std::string body;
   std::vector<std::pair<std::string, std::string>> fields;
   const std::string* field(const std::string& name) const;  // in lower case
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -247,6 +247,37 @@
   }
 }
 
+// The endpoint closes the idle connection between its choice and the first byte: the call goes on another
+// one.
+TEST(Endpoints, AConnectionClosedAfterItWasChosenIsNotWrittenTo) {
+  loopback::Listener endpoint;
+  Pool p;
+  p.endpoints.address("e", endpoint.address());
+  p.endpoints.call(p.message("first"), 0, "e", within(60'000'000));
+  const int fd = ::accept4(endpoint.fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  char piece[4096];
+  while (::recv(fd, piece, sizeof piece, 0) <= 0) p.io.run_one_for(std::chrono::milliseconds(1));
+  const std::string fine = answer("200 OK");
+  EXPECT_EQ(static_cast<ssize_t>(fine.size()), ::send(fd, fine.data(), fine.size(), MSG_NOSIGNAL));
+  EXPECT_EQ(Result::ok, p.waitFor(1).result);
+  EXPECT_EQ(1u, p.endpoints.idle());
+  p.endpoints.call(p.message("second"), 0, "e",
+                   within(60'000'000));  // chosen, to be written in the next turn
+  EXPECT_EQ(0u, p.endpoints.idle());
+  ::close(fd);  // on loopback its end is there at once
+  ::fcntl(endpoint.fd, F_SETFL, O_NONBLOCK);
+  int next = -1;
+  while (next < 0 && p.outcomes.size() == 1) {
+    next = ::accept4(endpoint.fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    p.io.run_one_for(std::chrono::milliseconds(1));
+  }
+  ASSERT_GE(next, 0) << "the call ended as " << static_cast<int>(p.outcomes.back().result);
+  while (::recv(next, piece, sizeof piece, 0) <= 0) p.io.run_one_for(std::chrono::milliseconds(1));
+  EXPECT_EQ(static_cast<ssize_t>(fine.size()), ::send(next, fine.data(), fine.size(), MSG_NOSIGNAL));
+  EXPECT_EQ(Result::ok, p.waitFor(2).result);
+  ::close(next);
+}
+
 TEST(Endpoints, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p(100'000);
