Take what a whole list leaves out for gone in the network code, too

Cause: the module drops endpoints that a whole list does not name, the network code heard only of those that it names (host.cpp, takeList): a call being opened to one was written later, and idle connections stayed. Change: they are drained and closed like those listed as gone. Result: a test on real connections: a call whose connect lasts longer than its message goes to the endpoint that the list names, once it comes.

--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -92,6 +92,12 @@
 void Host::takeList(const EndpointList::News& news) {
   ListUpdate u;
   u.kind = news.kind;
+  if (news.kind != ListKind::delta)  // what a whole list leaves out is gone
+    for (const std::string& endpoint : endpoints_.known())
+      if (!list_.has(endpoint)) {
+        endpoints_.closeIdle(endpoint);
+        endpoints_.drained(endpoint);
+      }
   for (const ListedEndpoint& l : news.entries) {
     u.endpoints.push_back(l.endpoint);
     destinations_.insert(l.endpoint.destination);
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -209,9 +209,10 @@
     changed_.notify_all();
   }
   std::string address() const { return server_.address(); }
-  void tell(json endpoints) {
+  void tell(json endpoints, bool whole = false) {
     std::lock_guard<std::mutex> l(mutex_);
     ++index_;
+    whole_ = whole;
     news_ = std::move(endpoints);
     changed_.notify_all();
   }
@@ -263,7 +264,7 @@
     changed_.notify_all();
     changed_.wait_for(l, kLong, [&] { return stop_ || index_ > from; });
     if (stop_) return {"", true, false, false};
-    const json body{{"index", index_}, {"snapshot", false}, {"endpoints", news_}};
+    const json body{{"index", index_}, {"snapshot", whole_}, {"endpoints", news_}};
     return {answer("200 OK", "", body.dump()), false, false, false};
   }
 
@@ -272,6 +273,7 @@
   std::map<std::string, json> notices_;
   json news_ = json::array();
   long index_ = 1, asked_ = -1;
+  bool whole_ = false;
   std::atomic<bool> stop_{false};
   Server server_;
 };
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -276,6 +276,62 @@
 }
 
 // A drain that was heard holds from that turn on, and also for the next process, whose configuration is old.
+// What a whole list leaves out is gone: a call whose connection is still coming up there goes elsewhere at
+// once, though its connect might last longer than the message.
+TEST(SenderProgram, AWholeListWithoutAnEndpointWithdrawsItsCalls) {
+  Listener stuck;  // its backlog is full: no connection comes up
+  ASSERT_EQ(0, ::listen(stuck.fd, 0));
+  std::vector<int> fds;
+  for (int i = 0; i < 8; ++i) {
+    fds.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<std::uint16_t>(stuck.port));
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::connect(fds.back(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+  }
+  TempFolder folder;
+  loopback::Agent agent;
+  Server other(deliver);
+  json settings = plainSettings();
+  settings["Ceilings"]["DialTimeoutMs"] = 100000.0;
+  settings["Ceilings"]["ParallelTries"] = false;
+  Program program(folder.path(), agent.address(), json::array({listed("e1", stuck.address(), 7)}), 3,
+                  settings);
+  ASSERT_TRUE(agent.waitForWatch(1));
+  Client c(program.port());
+  ASSERT_EQ("+OK", c.put("m", "notice", 7));
+  agent.tell(json::array({listed("e2", other.address(), 7)}), true);
+  EXPECT_TRUE(other.waitFor(1));
+  for (const int fd : fds) ::close(fd);
+}
+
+// A restart ends a wait: what waited behind it, untried, is tried by the next process, not at its end.
+TEST(SenderProgram, ARestartEndsAWaitAndTriesWhatWaitedBehindIt) {
+  TempFolder folder;
+  loopback::Agent agent;
+  std::atomic<bool> shut{true};
+  Server endpoint([&](const Seen&) {
+    return shut ? Act{answer("429 Full", "Retry-After: 20\r\n")} : Act{answer("200 OK")};
+  });
+  Program program(folder.path(), agent.address(), json::array({listed("e1", endpoint.address(), 7)}));
+  Client c(program.port());
+  ASSERT_EQ("+OK", c.put("told", "notice", 7));
+  ASSERT_TRUE(endpoint.waitFor(1));
+  const auto told = std::chrono::steady_clock::now();
+  ASSERT_EQ("+OK", c.put("untried", "notice", 7));
+  shut = false;
+  program.kill();
+  program.start();
+  EXPECT_TRUE(endpoint.waitFor(2));
+  EXPECT_TRUE(eventually([&] {
+    for (const Seen& s : endpoint.seen())
+      if (s.field("X-Txn") == "untried") return true;
+    return false;
+  }));
+  EXPECT_LT(std::chrono::steady_clock::now() - told, 20s);  // before the wait would have been over
+}
+
 TEST(SenderProgram, ADrainIsKeptOverAKill) {
   Fleet f(deliver);
   Server other(deliver);
