--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,6 +43,8 @@
 constexpr double kCrowd = 10;       // ... where so many senders or more share an endpoint, less so below
 constexpr double kQueue = 0.5;      // of the shortest aim may the wait for a slot be ...
 constexpr double kWorthKept = 0.9;  // ... for messages that lose more than the rest of their worth by it
+constexpr double kReturned = 0.3;   // of its worth: the terms' price of returning one that was taken on, and
+constexpr double kKeptFor = 0.7;    // surely has not run, before so much of its time
 constexpr double kHoldReserve = 0.06;  // of MaxOpen is kept free for better messages
 
 }  // namespace
@@ -68,6 +70,7 @@
   int typical_of = 0;
   double shift = 0;  // added to every stored global tag
   std::uint64_t next_order = 0, next_call = 0, next_attempt = 0;
+  std::uint64_t door = 0;  // the order of the latest message that had been taken on before this turn
   int open = 0;
   Micros wake_at = kNever, next_wake = kNever;
   Micros ask_at = 0;
@@ -156,7 +159,6 @@
     return order;
   }
 
-  // Which held message of a destination takes its tag: the one that loses most by waiting for the backlog.
   double worthAt(const Message& m, Micros when) const {
     const MessageClass& c = *m.cls;
     const double age = static_cast<double>(when - m.handed_in), aim = static_cast<double>(m.aim);
@@ -323,8 +325,7 @@
   }
 
   // Calls that stay out far too long are evidence before any time-out, several at once of an outage: guards
-  // against a hanging destination that fills the slots meanwhile. Harm: a chance long call shifts it into the
-  // lane until one is answered.
+  // against a hanging destination that fills the slots. Harm: a chance long call puts it into the lane.
   void countOverdue() {
     for (auto& [order, o] : outs) {
       Server& s = *o.first->attempts[o.second].server;
@@ -348,10 +349,8 @@
   }
 
   void noteLatency(Guard& g, double rtt, bool ended_well) {
-    if (g.samples == 0) {
-      if (!ended_well) return;
-      g.usual = rtt;
-    }
+    if (g.samples == 0 && !ended_well) return;
+    if (g.samples == 0) g.usual = rtt;
     const double ratio = rtt / std::max(1.0, g.usual);
     if (!ended_well && ratio < g.recent) return;  // a quick failure says nothing of pace
     g.recent += kRecentGain * (ratio - g.recent);
@@ -430,8 +429,7 @@
     keepHealth(s, scope(s).down != was_down || wait > 0);
   }
 
-  // What a restart must not forget: the next process resumes a backlog, and would push over what returns
-  // cold, or be told to wait twice.
+  // What a restart must not forget: the next process resumes a backlog, and would push over what returns.
   void keepHealth(Server& s, bool changed) {
     Guard& g = scope(s);
     if (!changed && std::abs(g.cold_since - g.noted) <= set.fall_span / 2) return;
@@ -464,19 +462,16 @@
   void clearLane() {
     if (!set.may_cancel || static_cast<int>(calls.size()) < set.slots) return;
     int excess = laneUsed() - laneSlots();
-    std::vector<std::pair<Message*, std::size_t>> late;
+    std::multimap<Effect, std::pair<Message*, std::size_t>> late;  // the oldest first, of each effect
     for (auto& [order, o] : outs) {
       const Attempt& a = o.first->attempts[o.second];
       if (a.called_off) --excess;
-      else if (a.late && sick(*a.server)) late.push_back(o);
+      else if (a.late && sick(*a.server)) late.insert({o.first->cls->effect, o});
     }
-    std::stable_sort(late.begin(), late.end(), [](const auto& a, const auto& b) {
-      return a.first->cls->effect < b.first->cls->effect;
-    });
-    for (auto& [m, i] : late) {
+    for (auto& [effect, o] : late) {
       if (excess-- <= 0) return;
-      m->attempts[i].called_off = true;
-      acts.push_back(Cancel{m->id, static_cast<int>(i)});
+      o.first->attempts[o.second].called_off = true;
+      acts.push_back(Cancel{o.first->id, static_cast<int>(o.second)});
     }
   }
 
@@ -633,8 +628,7 @@
 
   bool serverOpen(Server& s, const Message& m) {
     if (!usable(s) || !maySend(m, s)) return false;
-    // Before the process ends only what will be heard is started; guards against attempts lost in the
-    // unknown.
+    // Before the process ends only what will be heard is started: the rest would be lost in the unknown.
     const double heard = kStallRatio * kUnsafePatience * common_slow * usualLatency(s);
     if (stop_at != kNever && (sick(s) || static_cast<double>(stop_at - now) < heard)) return false;
     const Guard& g = scope(s);
@@ -841,6 +835,7 @@
     m.dest = &dests[a.destination];
     m.dest->id = a.destination;
     count(m.dest->traffic);
+    m.came = now;
     m.handed_in = std::min(now, a.give_up_at.left(c->deadline));
     const auto stretched = static_cast<Micros>(c->aim_stretch * static_cast<double>(a.estimate));
     m.aim = std::min(c->deadline, c->aim + stretched);
@@ -863,6 +858,7 @@
     Message* m = take(r.message);
     if (!m) return;
     m->resumed = r.restarted;
+    door = m->order;
     for (const PastAttempt& p : r.attempts) {
       auto s = servers.find(p.endpoint);
       Server* server = s == servers.end() ? nullptr : &s->second;
@@ -874,11 +870,16 @@
     if (!anySendLeft(*m)) giveUp(*m, now < m->end_at);
   }
 
+  // Its client has heard that it is taken on, and it surely has not run: to end it now costs.
+  bool promised(const Message& m) const {
+    const auto left = static_cast<double>(m.end_at - now), span = static_cast<double>(m.end_at - m.came);
+    return m.order <= door && !mayHaveRun(m) && left > (1 - kKeptFor) * span;
+  }
+
   // Near MaxOpen the least worth is refused, so that better messages are not turned away at the door. Worth
   // is what is left when the destination's backlog has drained: the queues of dead destinations go first.
   // With all slots busy so are those that would come late, down to a short queue: else all come late. Only
-  // for one of many, with few slots: of few senders all are busy in an outage only. Harm: refused in a short
-  // burst.
+  // for one of many: of few senders all are busy in an outage only. Harm: refused in a short burst.
   void shed() {
     const int most = std::max(1, set.max_open - std::max(1, static_cast<int>(kHoldReserve * set.max_open)));
     const bool busy = many() && static_cast<int>(calls.size()) >= set.slots;
@@ -887,16 +888,17 @@
     for (auto& [id, d] : backlog)
       if (d->blocked_at != now) wait += each * static_cast<double>(d->held.size());
     if (open <= most && wait <= kQueue * least_aim) return;
-    std::vector<std::tuple<double, std::uint64_t, Message*>> least;
+    std::set<std::tuple<double, std::uint64_t, Message*>> least;
     for (auto& [id, d] : backlog) {
       const Micros then = now + std::max(drainTime(*d), static_cast<Micros>(wait));
-      for (Message* m : d->held)
+      for (Message* m : d->held) {
+        const double price = promised(*m) ? kReturned * m->cls->worth : 0;
         if (mayRefuse(*m) && !owedTry(m))
-          least.push_back({worthAt(*m, then) + 1e-3 * worthAt(*m, now), m->order, m});
+          least.insert({worthAt(*m, then) + price + 1e-3 * worthAt(*m, now), m->order, m});
+      }
     }
-    std::sort(least.begin(), least.end());
     for (auto& [worth, order, m] : least) {
-      const bool late = wait > kQueue * least_aim && m->dest->blocked_at != now &&
+      const bool late = wait > kQueue * least_aim && m->dest->blocked_at != now && !promised(*m) &&
                         worth < kWorthKept * worthAt(*m, m->handed_in);
       if (open <= most && !late) continue;
       wait -= late ? each : 0;
@@ -976,6 +978,7 @@
 
   std::vector<Action> decide(Micros at, const std::vector<Event>& events) {
     now = at;
+    door = next_order;
     acts.clear();
     next_wake = kNever;
     for (const Event& e : events) std::visit([this](const auto& x) { on(x); }, e);
--- a/src/state.h
+++ b/src/state.h
@@ -62,8 +62,7 @@
   std::int64_t id = 0;
   std::vector<Server*> servers;
   std::vector<Message*> held;
-  std::deque<Tag>
-      tags;  // one for each held message, in order; the message that is worth most takes the first
+  std::deque<Tag> tags;  // one for each held message; the one that is worth most takes the first
   double last_local = -1e18, last_global = -1e18;  // l_prev, g_prev
   double period = 1;                               // 1/M
   Rate traffic;                                    // own messages
@@ -87,7 +86,7 @@
   const MessageClass* cls = nullptr;
   int tenant = -1;
   Dest* dest = nullptr;
-  Micros handed_in = 0, end_at = 0, not_before = 0, aim = 0;
+  Micros came = 0, handed_in = 0, end_at = 0, not_before = 0, aim = 0;
   std::uint64_t order = 0;
   std::vector<Attempt> attempts;
   bool held = false, ended = false, resumed = false;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -107,4 +107,62 @@
   EXPECT_EQ(refused(2, true), 0u);
 }
 
+// A table that is full of what was taken on: a message that comes now is refused before one of as much worth
+// that its client was promised, however much less that one would lose; one of far more worth takes its place.
+TEST(Admission, WhatWasTakenOnIsKeptBeforeWhatIsStillAtTheDoor) {
+  Settings s = makeSettings();
+  s.slots = 1;
+  s.max_open = 10;
+  s.classes[1].worth = 4;
+  Rig r(s);
+  r.list({makeEndpoint("e1", 1)});
+  for (int i = 0; i < 9; ++i) r.at(r.now + 400 * kMs).arrive("taken" + std::to_string(i), "safe", 1);
+  ASSERT_EQ(r.got<Refuse>().size(), 0u);  // one of them is out, and all wait for it
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "new" + std::to_string(i);
+    r.arrive(id, "safe", 1);
+    ASSERT_EQ(r.got<Refuse>().size(), 1u);
+    EXPECT_EQ(r.got<Refuse>()[0].id, id);
+  }
+  r.arrive("dear", "keyed", 1);
+  ASSERT_EQ(r.got<Refuse>().size(), 1u);
+  EXPECT_EQ(r.got<Refuse>()[0].id.substr(0, 5), "taken");
+}
+
+// Of many senders one with all slots busy refuses at the door what would come late, and keeps what it has
+// taken on until most of its time is over.
+TEST(Admission, WithAllSlotsBusyWhatWasTakenOnIsKeptForMostOfItsTime) {
+  Settings s = makeSettings();
+  s.senders = 200;
+  s.late = LateRule::halves;
+  s.slots = 4;
+  Rig r(s);
+  std::vector<Endpoint> all;
+  for (int d = 0; d < 50; ++d) all.push_back(makeEndpoint("e" + std::to_string(d), d));
+  r.list(all);
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "w" + std::to_string(i);
+    r.at(r.now + kS).arrive(id, "safe", i);
+    r.at(r.now + 500 * kMs).end(id, 0, Result::ok, 500 * kMs);
+  }
+  for (int i = 0; i < 4; ++i) r.arrive("out" + std::to_string(i), "safe", i);
+  for (int i = 4; i < 12; ++i) r.arrive("taken" + std::to_string(i), "safe", i);
+  ASSERT_EQ(r.got<Refuse>().size(), 0u);  // so far the wait for a slot is short
+  const Micros deadline = r.set.classes[0].deadline, from = r.now;
+  std::vector<std::string> refused;
+  const auto take = [&] {
+    for (const Refuse& x : r.got<Refuse>()) refused.push_back(x.id);
+  };
+  std::vector<Event> heap;
+  for (int i = 12; i < 44; ++i) heap.push_back(r.arrival("new" + std::to_string(i), "safe", i));
+  r.run(heap);
+  take();
+  EXPECT_GE(refused.size(), 16u);
+  while (r.now < from + deadline / 2) {
+    r.at(r.now + 100 * kMs).wake();
+    take();
+  }
+  for (const std::string& id : refused) EXPECT_NE(id.substr(0, 5), "taken") << id;
+}
+
 }  // namespace
