Let pauses between calls to discovery grow anew when SIGHUP names another one

Cause: Watcher::moveTo kept the count of failed calls, so that a sender that had met a discovery that was down and then got SIGHUP waited up to 4.8 s after one failed call at the new address (discovery.cpp, askLater); its news counts as told 4 s after the signal. Seen by forcing it: at the new address the calls came 1.6 to 4.8 s apart from the first on. Change: the count starts at none at the new address. Result: PausesGrowAnewAtTheDiscoveryThatSighupNames failed without the change. Ruled out: shorter watches; a call for a list is priced over the fleet, and nothing failed by a silent one.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -99,6 +99,7 @@
 
 void Watcher::moveTo(tcp::endpoint peer, std::string host) {
   agent_.moveTo(std::move(peer), std::move(host));
+  failures_ = 0;  // those of the old one say nothing of the new
   start(-1);
 }
 
--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -275,7 +275,6 @@
   EXPECT_EQ("given_up", f.agent.notice("short")["outcome"]);
 }
 
-// A drain that was heard holds from that turn on, and also for the next process, whose configuration is old.
 // What a whole list leaves out is gone: a call whose connection is still coming up there goes elsewhere at
 // once, though its connect might last longer than the message.
 TEST(SenderProgram, AWholeListWithoutAnEndpointWithdrawsItsCalls) {
@@ -333,6 +332,7 @@
   EXPECT_LT(std::chrono::steady_clock::now() - told, 20s);  // before the wait would have been over
 }
 
+// A drain that was heard holds from that turn on, and also for the next process, whose configuration is old.
 TEST(SenderProgram, ADrainIsKeptOverAKill) {
   Fleet f(deliver);
   Server other(deliver);
@@ -391,6 +391,137 @@
   EXPECT_EQ(0u, f.agent.noticeCount());
 }
 
+// Discovery in whose calls a test has a say: what it answers to the how manieth call. What comes after the
+// last that is named stays unanswered, as a watch without news does.
+class ScriptedDiscovery {
+ public:
+  explicit ScriptedDiscovery(std::vector<Act> answers)
+      : answers_(std::move(answers)), server_([this](const Seen& s) {
+          const std::size_t call = calls_++;
+          if (s.head.rfind("POST", 0) == 0) return Act{"HTTP/1.1 204 No Content\r\n\r\n"};
+          std::lock_guard<std::mutex> l(mutex_);
+          asked_.push_back(std::chrono::steady_clock::now());
+          return call < answers_.size() ? answers_[call] : Act{};
+        }) {}
+  std::string address() const { return server_.address(); }
+  bool waitFor(std::size_t calls) { return server_.waitFor(calls); }
+  std::vector<Seen> seen() { return server_.seen(); }
+  std::vector<std::chrono::steady_clock::duration> gaps() {
+    std::lock_guard<std::mutex> l(mutex_);
+    std::vector<std::chrono::steady_clock::duration> all;
+    for (std::size_t i = 1; i < asked_.size(); ++i) all.push_back(asked_[i] - asked_[i - 1]);
+    return all;
+  }
+
+ private:
+  std::vector<Act> answers_;
+  std::mutex mutex_;
+  std::vector<std::chrono::steady_clock::time_point> asked_;
+  std::atomic<std::size_t> calls_{0};
+  Server server_;
+};
+
+// Destination 7 has moved from `from` to `to`; written over several lines.
+std::string movedList(const Server& from, const Server& to) {
+  return json{{"index", 9},
+              {"snapshot", true},
+              {"endpoints", {listed("e1", from.address(), 7, "Terminating"), listed("e2", to.address(), 7)}}}
+      .dump(2);
+}
+Act halfOf(const Act& whole) { return {whole.bytes.substr(0, whole.bytes.size() - 40)}; }
+
+// A watch that falls silent, at once or in the middle of its answer, is broken: it is opened anew on another
+// connection, and what it missed is heeded from then on. Both at once, as each takes the time of a watch.
+TEST(SenderProgram, AWatchThatFallsSilentIsOpenedAnew) {
+  Server from(deliver), to(deliver);
+  const Act moved{answer("200 OK", "", movedList(from, to))};
+  ScriptedDiscovery silent({Act{}, moved}), half({halfOf(moved), moved});
+  TempFolder folder, other_folder;
+  const json known = json::array({listed("e1", from.address(), 7)});
+  Program one(folder.path(), silent.address(), known), two(other_folder.path(), half.address(), known);
+  for (ScriptedDiscovery* d : {&silent, &half}) {
+    ASSERT_TRUE(d->waitFor(3));  // the broken one, the new one, and the next
+    EXPECT_NE(d->seen()[0].connection, d->seen()[1].connection);
+    EXPECT_NE(std::string::npos, d->seen()[2].head.find("from=9&")) << d->seen()[2].head;
+  }
+  std::size_t sent = 0;
+  for (const Program* p : {&one, &two}) {
+    Client c(p->port());
+    ASSERT_EQ("+OK", c.put("m" + std::to_string(p->pid()), "notice", 7));
+    EXPECT_TRUE(to.waitFor(++sent));
+  }
+  EXPECT_EQ(0u, from.seen().size());
+}
+
+// SIGHUP while the watch is silent, and the new discovery falls silent in the middle of its first answer: it
+// is asked anew for the whole list.
+TEST(SenderProgram, SighupLeavesASilentWatchForADiscoveryThatFallsSilentToo) {
+  Server from(deliver), to(deliver);
+  const Act moved{answer("200 OK", "", movedList(from, to))};
+  ScriptedDiscovery silent({}), half({halfOf(moved), moved});
+  TempFolder folder;
+  Program program(folder.path(), silent.address(), json::array({listed("e1", from.address(), 7)}));
+  ASSERT_TRUE(silent.waitFor(1));
+  program.reload(half.address());
+  ASSERT_TRUE(half.waitFor(3));
+  for (std::size_t i = 0; i < 2; ++i)
+    EXPECT_EQ(std::string::npos, half.seen()[i].head.find("from=")) << half.seen()[i].head;
+  Client c(program.port());
+  ASSERT_EQ("+OK", c.put("m", "notice", 7));
+  EXPECT_TRUE(to.waitFor(1));
+  EXPECT_EQ(0u, from.seen().size());
+  EXPECT_EQ(1u, silent.seen().size());
+}
+
+// The pauses that have grown at a discovery that fails are not kept for the one that SIGHUP names: they grow
+// from the first again there. News of it counts as told 4 s after the signal.
+TEST(SenderProgram, PausesGrowAnewAtTheDiscoveryThatSighupNames) {
+  const std::vector<Act> turned_away(20, Act{answer("503 Busy")});
+  ScriptedDiscovery before(turned_away), after(turned_away);
+  TempFolder folder;
+  Server endpoint(deliver);
+  Program program(folder.path(), before.address(), json::array({listed("e1", endpoint.address(), 7)}));
+  ASSERT_TRUE(before.waitFor(6));
+  program.reload(after.address());
+  ASSERT_TRUE(after.waitFor(7));
+  const auto gaps = after.gaps();
+  EXPECT_GT(gaps[5], 3 * gaps[0]);  // each is within half and one and a half of twice the one before
+}
+
+// A discovery that returns and falls silent in the middle of its first answer.
+TEST(SenderProgram, ADiscoveryThatReturnsAndFallsSilentIsAskedAnew) {
+  Server from(deliver), to(deliver);
+  const Act moved{answer("200 OK", "", movedList(from, to))}, away{answer("503 Busy")};
+  // A whole list that can't be read: from then on the whole list is asked for, with the time of such a call.
+  const Act spoilt{answer("200 OK", "", "{\"index\":")};
+  ScriptedDiscovery discovery({spoilt, away, Act{"", false, true, false}, halfOf(moved), moved});
+  TempFolder folder;
+  Program program(folder.path(), discovery.address(), json::array({listed("e1", from.address(), 7)}));
+  ASSERT_TRUE(discovery.waitFor(6));
+  EXPECT_NE(std::string::npos, discovery.seen()[5].head.find("from=9&")) << discovery.seen()[5].head;
+  Client c(program.port());
+  ASSERT_EQ("+OK", c.put("m", "notice", 7));
+  EXPECT_TRUE(to.waitFor(1));
+  EXPECT_EQ(0u, from.seen().size());
+}
+
+// SIGTERM while the watch is silent: nobody waits for it.
+TEST(SenderProgram, SigtermDoesNotWaitForASilentWatch) {
+  Server endpoint(deliver);
+  ScriptedDiscovery silent({});
+  TempFolder folder;
+  Program program(folder.path(), silent.address(), json::array({listed("e1", endpoint.address(), 7)}));
+  ASSERT_TRUE(silent.waitFor(1));
+  Client c(program.port());
+  ASSERT_EQ("+OK", c.put("m", "payment", 7));
+  ASSERT_TRUE(endpoint.waitFor(1));
+  program.signal(SIGTERM);
+  EXPECT_TRUE(c.ended());
+  const int status = program.wait();
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  EXPECT_EQ(1u, silent.seen().size());
+}
+
 TEST(SenderProgram, AFullDiskBudgetRefusesAndKeepsWhatItHas) {
   Fleet f(stayOut, 0.3);
   Client c(f.program.port());
