Test what a restart finds behind a told wait, behind an outage and with calls being opened

Change: a test with real connections, a table that is full before and after, and each of the two signals; what had no call is delivered, what may have run and must not repeat is seen once, and each message ends. A listener whose connections never come up is shared with the test of whole lists. Not covered: a payment whose connection is being opened at a SIGKILL.

--- a/tests/net_sender_test.cpp
+++ b/tests/net_sender_test.cpp
@@ -275,20 +275,34 @@
   EXPECT_EQ("given_up", f.agent.notice("short")["outcome"]);
 }
 
+// Its backlog is full: no connection to it comes up.
+class StuckListener {
+ public:
+  StuckListener() {
+    EXPECT_EQ(0, ::listen(listener_.fd, 0));
+    for (int i = 0; i < 8; ++i) {
+      fds_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      sockaddr_in a{};
+      a.sin_family = AF_INET;
+      a.sin_port = htons(static_cast<std::uint16_t>(listener_.port));
+      a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      ::connect(fds_.back(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+    }
+  }
+  ~StuckListener() {
+    for (const int fd : fds_) ::close(fd);
+  }
+  std::string address() const { return listener_.address(); }
+
+ private:
+  Listener listener_;
+  std::vector<int> fds_;
+};
+
 // What a whole list leaves out is gone: a call whose connection is still coming up there goes elsewhere at
 // once, though its connect might last longer than the message.
 TEST(SenderProgram, AWholeListWithoutAnEndpointWithdrawsItsCalls) {
-  Listener stuck;  // its backlog is full: no connection comes up
-  ASSERT_EQ(0, ::listen(stuck.fd, 0));
-  std::vector<int> fds;
-  for (int i = 0; i < 8; ++i) {
-    fds.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_port = htons(static_cast<std::uint16_t>(stuck.port));
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::connect(fds.back(), reinterpret_cast<sockaddr*>(&a), sizeof a);
-  }
+  const StuckListener stuck;
   TempFolder folder;
   loopback::Agent agent;
   Server other(deliver);
@@ -303,7 +317,6 @@
   ASSERT_EQ("+OK", c.put("m", "notice", 7));
   agent.tell(json::array({listed("e2", other.address(), 7)}), true);
   EXPECT_TRUE(other.waitFor(1));
-  for (const int fd : fds) ::close(fd);
 }
 
 // A restart ends a wait: what waited behind it, untried, is tried by the next process, not at its end.
@@ -391,6 +404,86 @@
   EXPECT_EQ(0u, f.agent.noticeCount());
 }
 
+// A restart, by SIGKILL and by SIGTERM, with a table full of messages that wait behind a told wait, behind a
+// destination that is away, and with calls whose connections are being opened: what had no call is tried,
+// what may have run and must not repeat is not sent again, and each ends.
+TEST(SenderProgram, WhatARestartFindsUntriedIsTriedWhateverItWaitedFor) {
+  for (const int how : {SIGKILL, SIGTERM}) {
+    std::atomic<bool> down{true};
+    std::mutex mutex;
+    std::set<std::string> may_have_run, delivered;
+    Server told([&](const Seen& s) {
+      if (down) return Act{answer("429 Full", "Retry-After: 20\r\n")};
+      std::lock_guard<std::mutex> l(mutex);
+      const std::string id = s.field("X-Txn");
+      const bool first = delivered.insert(id).second;
+      if (id != "told0" && id.rfind("told", 0) == 0) EXPECT_TRUE(first) << id;  // payments
+      return Act{answer("200 OK")};
+    });
+    Server away([&](const Seen& s) {
+      std::lock_guard<std::mutex> l(mutex);
+      EXPECT_EQ(0u, may_have_run.count(s.field("X-Txn"))) << s.field("X-Txn");
+      if (down) {
+        may_have_run.insert(s.field("X-Txn"));
+        return Act{"", false, true, false};
+      }
+      delivered.insert(s.field("X-Txn"));
+      return Act{answer("200 OK")};
+    });
+    Server late([&](const Seen& s) {
+      std::lock_guard<std::mutex> l(mutex);
+      delivered.insert(s.field("X-Txn"));
+      return Act{answer("200 OK")};
+    });
+    const StuckListener stuck;
+    TempFolder folder;
+    loopback::Agent agent;
+    json settings = plainSettings();
+    settings["Ceilings"]["MaxOpen"] = 20;
+    settings["Ceilings"]["DialTimeoutMs"] = 20000.0;
+    settings["Rules"]["RampTimeMs"] = 1000.0;  // what was away is paced for so long
+    Program program(folder.path(), agent.address(),
+                    json::array({listed("told", told.address(), 7), listed("away", away.address(), 8),
+                                 listed("late", stuck.address(), 9)}),
+                    3, settings);
+    ASSERT_TRUE(agent.waitForWatch(1));
+    std::vector<std::string> taken;
+    {
+      Client c(program.port());
+      const auto put = [&](const std::string& id, const char* cls, int dest) {
+        if (c.put(id, cls, dest) == "+OK") taken.push_back(id);
+      };
+      put("told0", "notice", 7);
+      ASSERT_TRUE(told.waitFor(1));
+      put("away0", "payment", 8);
+      ASSERT_TRUE(away.waitFor(1));
+      for (int i = 1; i < 6; ++i) put("told" + std::to_string(i), "payment", 7);
+      for (int i = 1; i < 6; ++i) put("away" + std::to_string(i), "payment", 8);
+      for (int i = 0; i < 3; ++i) put("late" + std::to_string(i), "order", 9);
+    }
+    ASSERT_GE(taken.size(), 12u);
+    program.signal(how);
+    program.wait();
+    down = false;
+    agent.tell(json::array({listed("late", late.address(), 9)}));
+    program.start();
+    Client c(program.port());
+    for (int i = 0; i < 20; ++i) c.put("new" + std::to_string(i), "notice", 7);  // a full table again
+    for (const std::string& id : taken)
+      EXPECT_TRUE(eventually([&] {
+        {
+          std::lock_guard<std::mutex> l(mutex);
+          if (delivered.count(id) > 0) return true;
+          if (may_have_run.count(id) == 0) return false;
+        }
+        return !agent.notice(id).is_null();
+      })) << id
+          << " after signal " << how;
+    std::lock_guard<std::mutex> l(mutex);
+    for (const std::string& id : taken) EXPECT_EQ(1u, delivered.count(id) + may_have_run.count(id)) << id;
+  }
+}
+
 // Discovery in whose calls a test has a say: what it answers to the how manieth call. What comes after the
 // last that is named stays unanswered, as a watch without news does.
 class ScriptedDiscovery {
