Have the old process of an upgrade heed the waits and drains that the new one hears

Cause: after a handover a wait or a drain that the new process heard withdrew its own unwritten calls alone (endpoints.cpp, toldWait and drained). The two count as one sender. Change: Endpoints says what was told, and the new process passes it on over the link; the old one withdraws what it has not written, and its outcome goes back as one that never ran. Without an older process nothing is sent. Ruled out: cancelling the old one's calls by the module: it would decide without knowing what is written.

--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -66,8 +66,14 @@
 
 }  // namespace
 
-Endpoints::Endpoints(asio::io_context& io, Limits limits, Connections& rules, OnOutcome on_outcome)
-    : io_(io), limits_(limits), rules_(rules), on_outcome_(std::move(on_outcome)), sweeper_(io) {}
+Endpoints::Endpoints(asio::io_context& io, Limits limits, Connections& rules, OnOutcome on_outcome,
+                     OnHeld on_held)
+    : io_(io),
+      limits_(limits),
+      rules_(rules),
+      on_outcome_(std::move(on_outcome)),
+      on_held_(std::move(on_held)),
+      sweeper_(io) {}
 
 void Endpoints::address(const std::string& endpoint, const std::string& address, bool apart) {
   Peer& known = peers_[endpoint];
@@ -188,6 +194,7 @@
 
 void Endpoints::drained(const std::string& endpoint) {
   withdrawUnwritten([&](const Call& c) { return c.endpoint == endpoint; });
+  if (on_held_) on_held_(endpoint, std::nullopt);
   startWaiting();
 }
 
@@ -196,6 +203,7 @@
   const bool apart = peers_[endpoint].apart;
   withdrawUnwritten(
       [&](const Call& c) { return apart ? c.endpoint == endpoint : c.destination == destination; });
+  if (on_held_) on_held_(endpoint, destination);
 }
 
 void Endpoints::letGo(Call& call) {
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "clocks.h"
@@ -23,7 +24,10 @@
   struct Limits {
     Micros dial_timeout = 0, conn_idle = 0;
   };
-  Endpoints(boost::asio::io_context& io, Limits limits, Connections& rules, OnOutcome on_outcome);
+  // A wait was told, or a drain, where no destination is named: another process may have calls there, too.
+  using OnHeld = std::function<void(const std::string& endpoint, std::optional<std::int64_t> destination)>;
+  Endpoints(boost::asio::io_context& io, Limits limits, Connections& rules, OnOutcome on_outcome,
+            OnHeld on_held = {});
 
   // As listed, new or changed. `apart`: a route of its own, which no wait of another route holds for.
   void address(const std::string& endpoint, const std::string& address, bool apart = false);
@@ -79,6 +83,7 @@
   Limits limits_;
   Connections& rules_;
   OnOutcome on_outcome_;
+  OnHeld on_held_;
   std::map<std::string, Peer> peers_;             // by endpoint
   std::map<std::string, std::deque<Idle>> idle_;  // by endpoint, the freshest last
   std::map<CallId, Call> calls_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -112,8 +112,15 @@
       on_over_(std::move(on_over)),
       lock_(config_.state),
       connections_(budget()),
-      endpoints_(io, {config_.settings.dial_timeout, config_.settings.conn_idle}, connections_,
-                 [this](Outcome o) { outcome(std::move(o)); }),
+      endpoints_(
+          io, {config_.settings.dial_timeout, config_.settings.conn_idle}, connections_,
+          [this](Outcome o) { outcome(std::move(o)); },
+          [this](const std::string& endpoint, std::optional<std::int64_t> destination) {
+            if (!older_) return;
+            json line{{"held", endpoint}};
+            if (destination) line["destination"] = *destination;
+            older_->send(line);
+          }),
       look_timer_(io) {
   if (!config_.control.empty())
     control_.emplace(io, parseAddress(config_.control), connections_,
@@ -237,6 +244,11 @@
   newer_->start(
       [this](const json& m) {
         if (!absent(m, "serving")) newer_serves_ = true;
+        if (!absent(m, "held")) {
+          const std::string endpoint = text(m, "held");
+          absent(m, "destination") ? endpoints_.drained(endpoint)
+                                   : endpoints_.toldWait(endpoint, integer(m, "destination"));
+        }
         if (absent(m, "cancel")) return;
         const CallId call = callOf(field(m, "cancel"));
         endpoints_.cancel(call.first, call.second);
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -3,7 +3,8 @@
 //
 // Lines over the link, from the process that owned the journal: {"release":[[id,attempt],...]}, the calls it
 // still has out, the lock being free; {"outcome":{...}} for each as it ends. From the next: {"serving":true},
-// and {"cancel":[id,attempt]}.
+// {"cancel":[id,attempt]}, and {"held":endpoint} for a drain or {"held":endpoint,"destination":7} for a wait
+// that it was told: what the older one has not written yet heeds them.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -73,6 +73,30 @@
   int port = 0;
 };
 
+// Its backlog is full: no connection to it comes up.
+class StuckListener {
+ public:
+  StuckListener() {
+    EXPECT_EQ(0, ::listen(listener_.fd, 0));
+    for (int i = 0; i < 8; ++i) {
+      fds_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      sockaddr_in a{};
+      a.sin_family = AF_INET;
+      a.sin_port = htons(static_cast<std::uint16_t>(listener_.port));
+      a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+      ::connect(fds_.back(), reinterpret_cast<sockaddr*>(&a), sizeof a);
+    }
+  }
+  ~StuckListener() {
+    for (const int fd : fds_) ::close(fd);
+  }
+  std::string address() const { return listener_.address(); }
+
+ private:
+  Listener listener_;
+  std::vector<int> fds_;
+};
+
 // Waits for what has no event of its own.
 inline bool eventually(const std::function<bool()>& holds) {
   const auto until = std::chrono::steady_clock::now() + kLong;
--- a/tests/net_upgrade_test.cpp
+++ b/tests/net_upgrade_test.cpp
@@ -223,6 +223,44 @@
   EXPECT_GE(std::chrono::steady_clock::now() - from, 2s);
 }
 
+// The new process hears a drain, or a wait from another endpoint of the destination, while the old one has a
+// call whose connection is yet to come up, and would do so for longer than the test lasts: it is never
+// written, so that the old process has nothing left to do and leaves.
+TEST(Upgrade, ADrainOrAWaitThatTheNewProcessHearsHoldsForTheOldOnesCalls) {
+  for (const bool drain : {true, false}) {
+    const StuckListener stuck;
+    Server full([](const Seen&) { return Act{answer("429 Full", "Retry-After: 100\r\n")}; });
+    TempFolder folder;
+    loopback::Agent agent;
+    Listener passed;
+    json settings = plainSettings();
+    settings["Ceilings"]["DialTimeoutMs"] = 100000.0;
+    for (json& c : settings["Categories"])
+      c["AimMs"] = c["DeadlineMs"] = 100000.0;  // so long may a call take
+    const json known = json::array({listed("stuck", stuck.address(), 7)});
+    Program old(folder.path(), agent.address(), known, 3, settings, &passed);
+    ASSERT_TRUE(agent.waitForWatch(1));
+    ASSERT_EQ("+OK", Client(passed.port).put("old", "notice", 7, "x", 100000));
+    Program next(folder.path(), agent.address(), known, 3, settings, &passed);
+    ASSERT_TRUE(eventually([&] { return next.operate("READY") == "OK ready"; }));
+    if (drain) {
+      agent.tell(json::array({listed("stuck", stuck.address(), 7, "Terminating")}));
+    } else {
+      agent.tell(json::array({listed("full", full.address(), 7)}));
+      ASSERT_TRUE(agent.waitForWatch(2));
+      ASSERT_EQ("+OK", Client(passed.port).put("new", "notice", 7, "x", 100000));
+      ASSERT_TRUE(full.waitFor(1));
+    }
+    const auto ended = [&] {
+      siginfo_t info{};
+      return ::waitid(P_PID, static_cast<id_t>(old.pid()), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+             info.si_pid == old.pid();
+    };
+    EXPECT_TRUE(eventually(ended)) << (drain ? "drain" : "wait");
+    old.kill();
+  }
+}
+
 // One that holds the journal and does nothing any more can't be waited for.
 TEST(Upgrade, AProcessThatHangsIsReplaced) {
   Upgrade u;
