Pass over heads that only say that the answer is still to come

It was taken for the answer, an error that may have run, and what followed was dropped with its connection: a delivery, or a 429 with its wait (http.cpp, readHeader). Change: 1xx heads are passed over, sixteen in one exchange at most, so that an endpoint that sends nothing else does not hold the loop; 101 stays an error.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <optional>
 #include <sstream>
 #include <stdexcept>
@@ -18,6 +19,7 @@
 namespace {
 constexpr std::size_t kHeaderLimit = 16384;
 constexpr Micros kEndsRead = 1000;
+constexpr int kMostInterim = 16;
 
 std::string lower(std::string s) {
   for (char& c : s)
@@ -52,6 +54,7 @@
   std::uint64_t timing = 0;  // settings of the timer: one that was set anew may have its handler queued
   bool open = false, written = false, header = false, keep = false, out_of_time = false;
   bool reused = false;  // not opened for this exchange
+  int interims = 0;     // heads passed over in this exchange
   Deadline until;
   std::string time_left_field;
 
@@ -64,10 +67,8 @@
     for (auto& [name, value] : r.fields) request.set(name, value);
     request.body() = std::move(r.body);
     request.prepare_payload();
-    parser.emplace();
-    parser->get().result(0u);  // no status yet; a new one says 200
-    parser->body_limit(body_limit);
-    parser->header_limit(kHeaderLimit);
+    expectAnswer();
+    interims = 0;
     done = std::move(d);
     heard = std::move(h);
     written = header = keep = out_of_time = false;
@@ -96,6 +97,22 @@
     });
   }
 
+  void expectAnswer() {
+    parser.emplace();
+    parser->get().result(0u);  // no status yet; a new one says 200
+    parser->body_limit(body_limit);
+    parser->header_limit(kHeaderLimit);
+  }
+
+  // A head that only says that the answer is still to come (1xx) is none: it is passed over, as long as there
+  // are few. Guards the loop against an endpoint that sends nothing else.
+  bool interim() {
+    const unsigned status = parser->get().result_int();
+    if (status < 100 || status > 199 || status == 101 || ++interims > kMostInterim) return false;
+    expectAnswer();
+    return true;
+  }
+
   void setTimer(std::uint64_t mine, Micros span) {
     const std::uint64_t setting = ++timing;
     timer.expires_after(std::chrono::microseconds(std::max<Micros>(0, span)));
@@ -147,6 +164,8 @@
     http::async_read_header(
         socket, in, *parser, [self = shared_from_this(), mine](error_code e, std::size_t) {
           if (mine != self->turn) return;
+          if (!e && self->interim())
+            return self->out_of_time ? self->takeWhatIsThere() : self->readHeader(mine);
           self->header = !e;  // from here on the status is known, whatever becomes of the body
           if (self->out_of_time && (!e || e == asio::error::operation_aborted))
             return self->takeWhatIsThere();
@@ -164,9 +183,9 @@
   void takeWhatIsThere() {
     error_code e;
     socket.non_blocking(true, e);
-    if (!e && !header) {
+    while (!e && !header) {
       http::read_header(socket, in, *parser, e);
-      header = !e;
+      header = !e && !interim();
     }
     if (!e) http::read(socket, in, *parser, e);
     if (header || delivered()) return answered(!e);
@@ -179,8 +198,11 @@
   }
 
   bool bodyIsHere() const {
-    const auto left = parser->content_length_remaining();
-    return parser->is_done() || (left && in.size() >= *left);
+    const auto& fields = parser->get();
+    const auto length = fields.find(http::field::content_length);
+    return parser->is_done() ||
+           (length != fields.end() &&
+            in.size() >= std::strtoull(std::string(length->value()).c_str(), nullptr, 10));
   }
 
   HttpAnswer soFar() const {
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -131,6 +131,12 @@
   return p.call("m", timeout);
 }
 
+std::string hints(int how_many) {
+  std::string all;
+  while (how_many-- > 0) all += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  return all;
+}
+
 struct Row {
   const char* name;
   Act act;
@@ -180,6 +186,18 @@
             Result::error,
             false,
             0},
+        Row{"hints_then_turned_away",
+            {"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" +
+             answer("429 Full", "Retry-After: 0.5\r\n")},
+            Result::full,
+            false,
+            500000},
+        Row{"hints_then_delivered",
+            {"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("200 OK")},
+            Result::ok,
+            true,
+            0},
+        Row{"hints_without_end", {hints(40) + answer("200 OK")}, Result::error, false, 0},
         Row{"half_a_head", {"HTTP/1.1 200", true}, Result::reset, false, 0}),
     [](const auto& i) { return std::string(i.param.name); });
 
