Review case 2: after a kill the sender sends a charge that is only in a body

Cause: after a torn write, recovery searches for records inside the payload of the torn one, and a client's body can hold a whole record. Change: the new second case with its test. The program is unchanged.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,173 +1,169 @@
-// One endpoint spoils its answers for some seconds: each is an answer in chunks, and after the last chunk
-// comes more than any reader of HTTP takes. The sender must not end, and every message that it has taken on,
-// also for the other destination, must be delivered or ended by a notice.
-//
-// VARIANT=endless: the spoilt answers never end. The sender must also stay within its memory.
+// Clients hand in messages whose bodies hold bytes of a journal: whole records, as docs/journal.md describes
+// them. The sender is killed outright and started again, now and then. An endpoint must only get messages
+// that a client has handed in.
 #include "standins.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int kGoodDestination = 7;
-constexpr int kSpoiltDestination = 8;
-constexpr int kMemoryMb = 192;  // the highest limit on the days that are scored
-constexpr long kTimeToLiveMs = 4000;
-// 300 ms after its time is up, and 50 ms by which each limit grows on sockets.
-constexpr double kLostAfter = 0.350;
+constexpr int kDestination = 7;
+constexpr long kTimeToLiveMs = 10000;
 constexpr double kReadyLimit = 10;
-constexpr double kSpoiltFrom = 2;
-constexpr double kSpoiltFor = 8;
-constexpr double kHandInFor = 12;
-constexpr std::size_t kTrailerBytes = 70000;
-constexpr double kEndlessBytesPerSecond = 100e6;
+constexpr int kConnections = 18;
+constexpr std::size_t kBodyBytes = 65536;  // the most that PROTOCOL allows
+constexpr double kPlayFor = 85;
+constexpr double kPlayWithoutTroubleFor = 15;
+constexpr double kStartAfterKill = 0.6;
+// The kill comes once the sender's folder has grown by some messages, or after this time.
+constexpr std::int64_t kKillAfterBytes = 200'000;
+constexpr double kKillAfter = 0.03;
+constexpr std::uint64_t kSequenceNumber = 1ULL << 40;
+const std::string kStrangeId = "feedfacefeedface";
 
-bool isEndless() {
-  const char* value = std::getenv("VARIANT");
-  return value != nullptr && std::string(value) == "endless";
+std::uint32_t crc32(const std::string& bytes) {
+  std::uint32_t crc = ~0U;
+  for (const char byte : bytes) {
+    crc ^= static_cast<unsigned char>(byte);
+    for (int bit = 0; bit < 8; ++bit) {
+      crc = (crc >> 1) ^ (0xEDB88320U & (0U - (crc & 1U)));
+    }
+  }
+  return ~crc;
 }
 
-// Begins an answer that can't be read as HTTP/1.1 requires. Returns false, as the connection is closed then.
-bool sendSpoiltAnswer(Record& record, int fd, const std::string& id) {
-  sendAll(
-      fd,
-      "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfail\r\n0\r\nX-Trace: ");
-  if (!isEndless()) {
-    record.line("spoilt endpoint: 500 with a trailer of " + std::to_string(kTrailerBytes) + " bytes for " +
-                id);
-    sendAll(fd, std::string(kTrailerBytes, 'a') + "\r\n\r\n");
-    sleepFor(1);
-    return false;
+void number(std::string& out, std::uint64_t value, int bytes) {
+  for (int i = 0; i < bytes; ++i) {
+    out.push_back(static_cast<char>(value >> (8 * i)));
   }
-  record.line("spoilt endpoint: begins an answer without end for " + id);
-  const std::string piece(65536, 'a');
-  const double started_at = now();
-  double sent = 0;
-  while (sendAll(fd, piece)) {
-    sent += static_cast<double>(piece.size());
-    sleepFor(started_at + sent / kEndlessBytesPerSecond - now());
+}
+
+void text(std::string& out, const std::string& value) {
+  number(out, value.size(), 4);
+  out += value;
+}
+
+// The record of an accepted message in the format of docs/journal.md.
+std::string journalRecord() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto unix_us = std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count();
+  constexpr std::uint64_t kLifeUs = 60'000'000;
+  std::string payload;
+  number(payload, kSequenceNumber, 8);
+  payload += 'A';
+  text(payload, kStrangeId);
+  text(payload, "charge");
+  text(payload, "");
+  text(payload, "");
+  text(payload, "a charge that nobody has handed in");
+  number(payload, kDestination, 8);
+  number(payload, static_cast<std::uint64_t>(unix_us) + kLifeUs, 8);
+  payload.push_back(0);
+  text(payload, "main");
+  number(payload, kLifeUs, 8);
+  std::string record = "\xA7GJ2";
+  number(record, payload.size(), 4);
+  number(record, crc32(payload), 4);
+  number(record, crc32(record), 4);
+  return record + payload;
+}
+
+std::string bodyOfRecords() {
+  const std::string record = journalRecord();
+  std::string body;
+  while (body.size() + record.size() <= kBodyBytes) {
+    body += record;
   }
-  record.line("spoilt endpoint: the sender gave up " + id + " after " + std::to_string(sent / 1e6) + " MB");
-  return false;
+  return body;
+}
+
+// The bytes that the sender's folder holds, as the platform counts them.
+std::int64_t journalBytes() {
+  static const std::string path = std::string(std::getenv("WORK")) + "/state/journal";
+  struct stat status {};
+  return ::stat(path.c_str(), &status) == 0 ? status.st_size : 0;
 }
 
 int play(Record& record) {
   static std::mutex mutex;
-  static std::map<std::string, double> delivered_at;
-  static std::atomic<double> spoilt_from{1e9};
+  static std::map<std::string, std::string> handed_in;  // bodies by id
+  static std::atomic<int> foreign_calls{0};
+  static std::atomic<int> calls{0};
   auto& discovery = *new Discovery(record);  // its threads run until the player ends
-  const auto answer = [&](const char* name, int fd, const std::string& id) {
-    if (!isOpen(fd) || !sendAll(fd, httpAnswer("200 OK"))) {
-      record.line(std::string(name) + ": the connection of " + id + " has ended before its answer");
-      return false;
-    }
-    record.line(std::string(name) + ": 200 for " + id);
-    const std::lock_guard<std::mutex> lock(mutex);
-    delivered_at.emplace(id, now());
-    return true;
-  };
-  auto& good = *new HttpServer([&](int fd, const HttpRequest& request) {
-    record.line("good endpoint: call " + request.field("X-Txn"));
-    sleepFor(0.3);
-    return answer("good endpoint", fd, request.field("X-Txn"));
-  });
-  auto& spoilt = *new HttpServer([&](int fd, const HttpRequest& request) {
+  auto& endpoint = *new HttpServer([&](int fd, const HttpRequest& request) {
     const std::string id = request.field("X-Txn");
-    record.line("spoilt endpoint: call " + id);
-    sleepFor(0.1);
-    const double at = now();
-    if (troubleIsOn() && at >= spoilt_from && at < spoilt_from + kSpoiltFor) {
-      return sendSpoiltAnswer(record, fd, id);
+    bool is_known = false;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      const auto found = handed_in.find(id);
+      is_known = found != handed_in.end() && found->second == request.body;
     }
-    return answer("spoilt endpoint", fd, id);
+    ++calls;
+    if (is_known) {
+      record.line("endpoint: 200 for " + id);
+      return sendAll(fd, httpAnswer("200 OK"));
+    }
+    ++foreign_calls;
+    record.line(
+        "endpoint: 400 for " + id + ", which no client has handed in; body: " + request.body.substr(0, 60),
+        true);
+    return sendAll(fd, httpAnswer("400 Bad Request"));
   });
-  discovery.publish(json::array({endpointEntry("e-good", good.address(), kGoodDestination),
-                                 endpointEntry("e-spoilt", spoilt.address(), kSpoiltDestination)}));
-  Sender sender(record, discovery, kMemoryMb);
+  discovery.publish(json::array({endpointEntry("e-1", endpoint.address(), kDestination)}));
+  Sender sender(record, discovery);
   sender.config()["known"] = discovery.list();
   sender.start();
   if (!sender.waitUntilReady(kReadyLimit)) {
     throw CannotRun("the sender does not get ready: " + sender.lastLogLine());
   }
 
-  int unasked_ends = 0;
-  int over_memory = 0;
-  double peak_mb = 0;
-  // Called often: the platform kills a sender that is over its memory, and starts again one that has ended.
-  const auto supervise = [&] {
-    if (sender.isRunning()) {
-      const double mb = sender.memoryMb();
-      peak_mb = std::max(peak_mb, mb);
-      if (mb <= kMemoryMb) {
-        return;
+  int kills = 0;
+  int accepted = 0;
+  const double play_until = now() + (troubleIsOn() ? kPlayFor : kPlayWithoutTroubleFor);
+  while (now() < play_until && foreign_calls == 0) {
+    const std::string body = bodyOfRecords();
+    std::vector<int> connections;
+    std::vector<std::string> ids;
+    for (int i = 0; i < kConnections; ++i) {
+      connections.push_back(connectTo(sender.port()));
+      ids.push_back(newId());
+      const std::lock_guard<std::mutex> lock(mutex);
+      handed_in[ids.back()] = body;
+    }
+    const std::int64_t bytes_before = journalBytes();
+    for (int i = 0; i < kConnections; ++i) {
+      sendAll(connections[i], putRequest(ids[i], "position", kTimeToLiveMs, kDestination, body));
+    }
+    if (troubleIsOn()) {
+      const double kill_at = now() + kKillAfter;
+      while (now() < kill_at && journalBytes() < bytes_before + kKillAfterBytes) {
       }
-      ++over_memory;
-      record.line("platform: the sender holds " + std::to_string(mb) + " MB of " + std::to_string(kMemoryMb) +
-                      " and is killed",
-                  true);
+      ++kills;
       sender.kill();
-    } else {
-      ++unasked_ends;
-      record.line("platform: nobody told the sender to end; its last line: " + sender.lastLogLine(), true);
     }
-    sleepFor(0.6);
-    sender.start();
-    sender.waitUntilReady(3);
-  };
-
-  spoilt_from = now() + kSpoiltFrom;
-  std::vector<Message> messages;
-  const double hand_in_until = now() + kHandInFor;
-  while (now() < hand_in_until) {
-    const char* classes[] = {"report", "position", "charge"};
-    const std::size_t n = messages.size();
-    const int destination = n % 4 == 3 ? kSpoiltDestination : kGoodDestination;
-    const char* message_class = destination == kSpoiltDestination ? "position" : classes[n % 3];
-    messages.push_back(handIn(record, sender.port(), message_class, kTimeToLiveMs, destination));
-    for (int i = 0; i < 10; ++i) {
-      supervise();
-      sleepFor(0.01);
+    for (int i = 0; i < kConnections; ++i) {
+      const std::string answer = Sender::readLine(connections[i], 0.4);
+      accepted += answer == "+OK" ? 1 : 0;
+      record.line("client: " + ids[i] + " -> " + (answer.empty() ? "no answer" : answer));
+      ::close(connections[i]);
     }
-  }
-  const double watch_until = now() + static_cast<double>(kTimeToLiveMs) / 1000 + 1;
-  while (now() < watch_until) {
-    supervise();
-    sleepFor(0.01);
-  }
-
-  int accepted = 0;
-  int lost = 0;
-  for (const Message& message : messages) {
-    if (message.accepted_at < 0) {
-      continue;
-    }
-    ++accepted;
-    double end_at = discovery.noticeAt(message.id);
-    {
-      const std::lock_guard<std::mutex> lock(mutex);
-      const auto delivered = delivered_at.find(message.id);
-      if (delivered != delivered_at.end() && (end_at < 0 || delivered->second < end_at)) {
-        end_at = delivered->second;
+    if (troubleIsOn()) {
+      sleepFor(kStartAfterKill);
+      sender.start();
+      if (!sender.waitUntilReady(kReadyLimit)) {
+        throw CannotRun("the sender does not get ready: " + sender.lastLogLine());
       }
     }
-    // The excuse for restarts is for those by SIGTERM and SIGKILL. Here the platform stops nothing, unless
-    // the sender is over its memory; that alone breaks the rule then.
-    if (end_at < 0 || end_at > message.expires_at + kLostAfter) {
-      ++lost;
-      record.line("lost: " + message.id + " c=" + message.message_class +
-                  " was taken on, its time was up at " + std::to_string(message.expires_at) +
-                  ", its end came " + (end_at < 0 ? "never" : "at " + std::to_string(end_at)));
-    }
+    sleepFor(0.3);
   }
-  record.line("result: the sender ended " + std::to_string(unasked_ends) +
-                  " times without being told to, was " + std::to_string(over_memory) +
-                  " times over its memory (peak " + std::to_string(peak_mb) + " MB); " +
-                  std::to_string(accepted) + " messages taken on, " + std::to_string(lost) + " of them lost",
+  record.line("result: " + std::to_string(kills) + " kills, " + std::to_string(accepted) +
+                  " messages taken on, " + std::to_string(calls) + " calls, " +
+                  std::to_string(foreign_calls) + " of them for a message that no client has handed in",
               true);
-  if (accepted == 0) {
-    throw CannotRun("no message was taken on");
+  if (calls == 0) {
+    throw CannotRun("the endpoint got no call");
   }
-  return unasked_ends > 0 || over_memory > 0 || lost > 0 ? kBroken : kHeld;
+  return foreign_calls > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
