--- a/review/standins/run-case.sh
+++ b/review/standins/run-case.sh
@@ -11,7 +11,8 @@
   echo "build the project first, with the command in deploy/balancer.toml" >&2
   exit 2
 fi
-if [ ! -x "$player" ] || [ "$case_folder/case.cpp" -nt "$player" ]; then
+if [ ! -x "$player" ] || [ "$case_folder/case.cpp" -nt "$player" ] ||
+  [ "$review/standins/standins.h" -nt "$player" ]; then
   "$review/build.sh" || exit 2
 fi
 WORK=$(mktemp -d) || exit 2
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -14,6 +14,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cctype>
 #include <cerrno>
@@ -33,6 +34,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -123,13 +125,21 @@
   return fd;
 }
 
-// A port that the program can bind. It is free at the moment, and kept apart from the ports of connections
-// only by chance; a program that can't bind it makes the case one that could not run.
+// A free port for the program to listen on, below the ports that the system gives to connections, so that no
+// connection takes it while the program is down.
 inline int freePort() {
-  const int fd = listenOnFreePort(1);
-  const int port = localPort(fd);
-  ::close(fd);
-  return port;
+  static std::mt19937 random(std::random_device{}());
+  for (int attempt = 0; attempt < 1000; ++attempt) {
+    const int port = std::uniform_int_distribution<int>(20000, 31999)(random);
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopbackAddress(port);
+    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    if (is_free) {
+      return port;
+    }
+  }
+  throw CannotRun("no free port");
 }
 
 inline bool sendAll(int fd, const std::string& bytes) {
@@ -404,7 +414,10 @@
 class Sender {
  public:
   Sender(Record& record, const Discovery& discovery, int memory_mb = 192)
-      : record_(record), listen_port_(freePort()), control_port_(freePort()), memory_mb_(memory_mb) {
+      : record_(record),
+        listen_port_(freePort()),
+        control_port_(otherFreePort(listen_port_)),
+        memory_mb_(memory_mb) {
     root_ = environment("ROOT");
     run_ = environment("RUN");
     work_ = environment("WORK");
@@ -433,6 +446,23 @@
     const std::string scratch = work_ + "/tmp" + std::to_string(++starts_);
     ::mkdir(scratch.c_str(), 0755);
     const std::string log = work_ + "/sender.log";
+    // All that allocates memory is done before the fork, as this process has threads.
+    std::vector<std::string> variables = {"GW_NAME=n1",
+                                          "GW_LISTEN=" + addressOf(listen_port_),
+                                          "GW_DISCOVERY=" + config_["discovery"].get<std::string>(),
+                                          "GW_CONTROL=" + addressOf(control_port_),
+                                          "GW_CONFIG=" + config_path,
+                                          "GW_STATE=" + work_ + "/state",
+                                          "TMPDIR=" + scratch};
+    if (const char* search_path = std::getenv("PATH")) {
+      variables.push_back(std::string("PATH=") + search_path);
+    }
+    std::vector<char*> environment;
+    for (std::string& variable : variables) {
+      environment.push_back(variable.data());
+    }
+    environment.push_back(nullptr);
+    const char* arguments[] = {"sh", "-c", run_.c_str(), nullptr};
     const pid_t pid = ::fork();
     if (pid < 0) {
       throw CannotRun("fork failed");
@@ -445,15 +475,7 @@
       if (::chdir(root_.c_str()) != 0) {
         ::_exit(127);
       }
-      ::setenv("GW_NAME", "n1", 1);
-      ::setenv("GW_LISTEN", addressOf(listen_port_).c_str(), 1);
-      ::setenv("GW_DISCOVERY", config_["discovery"].get<std::string>().c_str(), 1);
-      ::setenv("GW_CONTROL", addressOf(control_port_).c_str(), 1);
-      ::setenv("GW_CONFIG", config_path.c_str(), 1);
-      ::setenv("GW_STATE", (work_ + "/state").c_str(), 1);
-      ::setenv("TMPDIR", scratch.c_str(), 1);
-      ::unsetenv("GW_PASSED_SOCKET");
-      ::execl("/bin/sh", "sh", "-c", run_.c_str(), static_cast<char*>(nullptr));
+      ::execve("/bin/sh", const_cast<char**>(arguments), environment.data());
       ::_exit(127);
     }
     pid_ = pid;
@@ -558,6 +580,14 @@
   }
 
  private:
+  static int otherFreePort(int taken) {
+    int port = freePort();
+    while (port == taken) {
+      port = freePort();
+    }
+    return port;
+  }
+
   static std::string environment(const char* name) {
     const char* value = std::getenv(name);
     if (value == nullptr) {
