Reject ids that HTTP can't carry, and end journaled ones with a notice

Change: ids and idempotency keys have at most 256 bytes. A journaled message that HTTP can't carry, also one that a predecessor names as in flight, ends with a notice; longer ids that HTTP can carry are still sent. A request that Beast can't hold ends its exchange as invalid_request. The same fault on related paths: the read buffer is limited, so that a long trailer field of an answer ends its attempt; discovery's addresses have at most 58 bytes, and lists that are nested too deeply are rejected; attempt numbers on the handover link are checked.

--- a/src/network/endpoint_pool.cpp
+++ b/src/network/endpoint_pool.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "network/socket_address.h"
+#include "protocol/delivery_request.h"
 #include "protocol/delivery_response.h"
 
 namespace delivery {
@@ -20,19 +21,6 @@
 // timeout, so that no request is sent while the endpoint closes the connection.
 constexpr Micros kIdleMarginDivisor = 20;
 
-HttpRequest deliveryRequest(const SubmittedMessage& message) {
-  HttpRequest request;
-  request.method = "POST";
-  request.target = "/hook";
-  request.fields.emplace_back("X-Txn", message.id);
-  if (!message.idempotency_key.empty()) {
-    request.fields.emplace_back("Idempotency-Key", message.idempotency_key);
-  }
-  request.remaining_time_field = "X-Remaining-Ms";
-  request.body = message.body;
-  return request;
-}
-
 // Whether the connection may be kept after a call. The decision module counts idle connections itself, and
 // assumes that the connection is kept after these results.
 bool leavesConnectionOpen(AttemptResult result) {
--- a/src/network/endpoint_watch.cpp
+++ b/src/network/endpoint_watch.cpp
@@ -65,7 +65,7 @@
     return;
   }
   try {
-    known_index_ = on_endpoint_list_(json::parse(response.body));
+    known_index_ = on_endpoint_list_(parseJson(response.body));
   } catch (const std::exception& error) {
     // An unreadable response must not end the watch.
     logWarning("discovery", "unreadable_endpoint_list").field("error", error.what());
--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -11,8 +11,11 @@
 #include <cstdlib>
 #include <optional>
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
+#include "common/log.h"
+
 namespace delivery {
 
 namespace asio = boost::asio;
@@ -22,6 +25,9 @@
 namespace {
 
 constexpr std::size_t kMaxHeadBytes = 16384;
+// The limit of what is read and not parsed yet, such as a chunk header or the trailer behind the last chunk.
+// Beast throws for a longer header field.
+constexpr std::size_t kMaxReadBufferBytes = kMaxFieldValueBytes;
 constexpr int kMaxInformationalHeads = 16;     // how many heads with status 1xx are skipped in one exchange
 constexpr Micros kCancelRetryInterval = 1000;  // until the read in progress is cancelled again
 constexpr int kHttpVersion = 11;
@@ -83,7 +89,12 @@
 
   void start(HttpRequest request, Micros connect_timeout, Deadline deadline, OnResponse on_response,
              ProgressCallbacks progress) {
-    beginExchange(std::move(request), deadline, std::move(on_response), std::move(progress));
+    beginExchange(deadline, std::move(on_response), std::move(progress));
+    if (!prepareRequest(std::move(request))) {
+      asio::post(socket_.get_executor(),
+                 forThisExchange([this] { finishWithFailure(ExchangeStatus::invalid_request); }));
+      return;
+    }
     const Micros remaining = deadline_.remaining(monotonicNow());
     if (is_open_) {
       setTimer(remaining);
@@ -113,11 +124,8 @@
   bool requestWritten() const { return request_written_; }
 
  private:
-  void beginExchange(HttpRequest request, Deadline deadline, OnResponse on_response,
-                     ProgressCallbacks progress) {
+  void beginExchange(Deadline deadline, OnResponse on_response, ProgressCallbacks progress) {
     ++exchange_id_;
-    remaining_time_field_ = std::move(request.remaining_time_field);
-    request_ = toBeastRequest(std::move(request), host_);
     expectResponse();
     deadline_ = deadline;
     on_response_ = std::move(on_response);
@@ -130,6 +138,18 @@
     is_reused_ = is_open_;
   }
 
+  // Returns false if HTTP can't carry the request: Beast throws for a field that is too long.
+  bool prepareRequest(HttpRequest request) {
+    remaining_time_field_ = std::move(request.remaining_time_field);
+    try {
+      request_ = toBeastRequest(std::move(request), host_);
+      return true;
+    } catch (const std::length_error& error) {
+      logError("http", "invalid_request").field("reason", error.what());
+      return false;
+    }
+  }
+
   // Prepares the parser for the next response head.
   void expectResponse() {
     parser_.emplace();
@@ -414,7 +434,7 @@
   http::request<http::string_body> request_;
   std::string request_bytes_;
   std::size_t bytes_written_ = 0;  // how many of request_bytes_ the kernel has accepted
-  boost::beast::flat_buffer read_buffer_;
+  boost::beast::flat_buffer read_buffer_{kMaxReadBufferBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   OnResponse on_response_;
   ProgressCallbacks progress_;
--- a/src/network/socket_address.cpp
+++ b/src/network/socket_address.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// The longest form: an IPv6 address of 39 characters with brackets, a scope of 10 digits and a port.
+constexpr std::size_t kMaxAddressBytes = 39 + 2 + 11 + 6;
 constexpr int kMaxPort = 65535;
 constexpr std::size_t kMaxPortDigits = 5;
 
@@ -36,7 +38,7 @@
 
 tcp::endpoint parseAddress(const std::string& address) {
   const auto colon = address.rfind(':');
-  if (colon != std::string::npos) {
+  if (colon != std::string::npos && address.size() <= kMaxAddressBytes) {
     boost::system::error_code invalid;
     const auto ip = asio::ip::make_address(withoutBrackets(address.substr(0, colon)), invalid);
     const auto port = parsePort(address.substr(colon + 1));
@@ -44,7 +46,7 @@
       return {ip, *port};
     }
   }
-  throw std::invalid_argument("not an IP address and port: " + address);
+  throw std::invalid_argument("not an IP address and port: " + address.substr(0, kMaxAddressBytes));
 }
 
 }  // namespace delivery
--- a/src/process/decision_driver.cpp
+++ b/src/process/decision_driver.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "protocol/delivery_request.h"
 
 namespace delivery {
 
@@ -36,6 +37,19 @@
   return readNumber(list, "index", EndpointList::kNoIndex);
 }
 
+// The endpoint list from the journal; null if there is none or it can't be read.
+json parseJournaledList(const std::string& list) {
+  if (list.empty()) {
+    return {};
+  }
+  try {
+    return parseJson(list);
+  } catch (const InvalidInput& error) {
+    logWarning("journal", "unreadable_endpoint_list").field("error", error.what());
+    return {};
+  }
+}
+
 void logRecovery(const Journal::Recovered& recovered, std::size_t messages, std::size_t pending_notices,
                  Micros duration_ms) {
   LogLine line = recovered.damaged ? logWarning("journal", "recovered") : logInfo("journal", "recovered");
@@ -82,6 +96,8 @@
   for (const JournaledMessage& entry : recovered.messages) {
     if (entry.notice_pending) {
       notifier_.enqueue(entry.message.id, entry.notice);
+    } else if (!isDeliverable(entry.message)) {
+      abandonUndeliverable(entry.message);
     } else {
       recoverMessage(entry, calls_in_flight, after_handover);
     }
@@ -95,7 +111,7 @@
 void DecisionDriver::recoverEndpointList(const json& configured_endpoints,
                                          const std::string& journaled_list) {
   json list = configured_endpoints;
-  const json journaled = json::parse(journaled_list, nullptr, false);
+  const json journaled = parseJournaledList(journaled_list);
   if (journaled.is_object() &&
       (!list.is_object() || endpointListIndexOf(journaled) >= endpointListIndexOf(list))) {
     list = journaled;
@@ -137,6 +153,16 @@
   addEvent(std::move(recovered));
 }
 
+// Ends a message that HTTP can't carry. No attempt of it can have run.
+void DecisionDriver::abandonUndeliverable(const SubmittedMessage& message) {
+  logWarning("journal", "undeliverable_message")
+      .field("id_bytes", message.id.size())
+      .field("idempotency_key_bytes", message.idempotency_key.size());
+  const CompletionNotice notice;
+  journal_.recordNoticePending(message.id, notice);
+  notifier_.enqueue(message.id, notice);
+}
+
 // Tells the decision module about an endpoint that has left the list and still has a call in flight: the
 // outcome and the Retry-After of that call still count.
 void DecisionDriver::addUnlistedEndpoint(const std::string& endpoint, std::int64_t destination) {
--- a/src/process/decision_driver.h
+++ b/src/process/decision_driver.h
@@ -88,6 +88,7 @@
   void recoverHealth(const std::vector<HealthRecord>& records, bool after_handover);
   void recoverMessage(const JournaledMessage& entry, const std::set<CallId>& calls_in_flight,
                       bool after_handover);
+  void abandonUndeliverable(const SubmittedMessage& message);
   void addUnlistedEndpoint(const std::string& endpoint, std::int64_t destination);
 
   void applyEndpointUpdate(const EndpointListUpdate& update);
--- a/src/protocol/delivery_response.cpp
+++ b/src/protocol/delivery_response.cpp
@@ -60,6 +60,8 @@
 
 AttemptResult attemptResultOf(const HttpResponse& response) {
   switch (response.completion) {
+    case ExchangeStatus::invalid_request:
+      return AttemptResult::not_sent;
     case ExchangeStatus::not_written:
       return AttemptResult::connect_failed;
     case ExchangeStatus::broken:
--- a/src/protocol/handover_messages.cpp
+++ b/src/protocol/handover_messages.cpp
@@ -1,5 +1,7 @@
 #include "protocol/handover_messages.h"
 
+#include <limits>
+
 #include "protocol/json_fields.h"
 
 namespace delivery {
@@ -53,6 +55,13 @@
   throw InvalidInput(InputProblem::unknown_value, "result", "unknown result code");
 }
 
+int attemptNumber(std::int64_t number) {
+  if (number < 0 || number > std::numeric_limits<int>::max()) {
+    throw InvalidInput(InputProblem::out_of_range, "attempt", "attempt number out of range");
+  }
+  return static_cast<int>(number);
+}
+
 json callToJson(const CallId& call) {
   return json::array({call.message_id, call.attempt});
 }
@@ -61,7 +70,7 @@
   if (!value.is_array() || value.size() != 2 || !value[0].is_string() || !value[1].is_number_integer()) {
     throw InvalidInput(InputProblem::wrong_type, "", "call is not [message id, attempt number]");
   }
-  return {value[0].get<std::string>(), value[1].get<int>()};
+  return {value[0].get<std::string>(), attemptNumber(value[1].get<std::int64_t>())};
 }
 
 json outcomeToJson(const AttemptOutcome& outcome) {
@@ -92,7 +101,7 @@
 AttemptOutcome outcomeFromJson(const json& object) {
   AttemptOutcome outcome;
   outcome.id = readString(object, "id");
-  outcome.attempt = static_cast<int>(readInteger(object, "attempt"));
+  outcome.attempt = attemptNumber(readInteger(object, "attempt"));
   outcome.result = resultFromCode(readInteger(object, "result"));
   outcome.finished = readBoolean(object, "finished");
   outcome.still_in_flight = readBoolean(object, "still_out", false);
--- a/src/protocol/http_message.h
+++ b/src/protocol/http_message.h
@@ -1,12 +1,16 @@
 // HTTP requests and responses as values, independent of any connection.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace delivery {
 
+// The length up to which Beast can store the value of a header field, in bytes.
+constexpr std::size_t kMaxFieldValueBytes = 65533;
+
 using HttpFields = std::vector<std::pair<std::string, std::string>>;  // header fields, as name and value
 
 struct HttpRequest {
@@ -21,11 +25,12 @@
 
 // How far an exchange of request and response got.
 enum class ExchangeStatus {
-  answered,     // a status line was received
-  not_written,  // there was no connection, or it broke or the time ran out before the last byte of the
-                // request was written
-  broken,       // after the last byte was written, the connection broke or the peer sent invalid HTTP
-  timed_out     // the request was written, and no response was received in time
+  answered,         // a status line was received
+  invalid_request,  // HTTP can't carry the request, as a field is too long; nothing was written
+  not_written,      // there was no connection, or it broke or the time ran out before the last byte of the
+                    // request was written
+  broken,           // after the last byte was written, the connection broke or the peer sent invalid HTTP
+  timed_out         // the request was written, and no response was received in time
 };
 
 // The result of an exchange. Status, body and fields are set only if `completion` is `answered`.
--- a/src/protocol/json_fields.h
+++ b/src/protocol/json_fields.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "common/deadline.h"
@@ -42,6 +43,43 @@
   std::string field_;
 };
 
+// How many arrays and objects of a JSON text may be open at once. Copying and writing a value takes stack
+// space for each level.
+constexpr std::size_t kMaxJsonDepth = 64;
+
+// Whether a text opens more than kMaxJsonDepth arrays and objects at once. The text need not be valid JSON.
+inline bool isNestedTooDeeply(std::string_view text) {
+  std::size_t depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (c == '"') {
+      in_string = !in_string;
+    } else if (in_string) {
+      i += c == '\\' ? 1 : 0;  // the escaped character may be a quotation mark
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) {
+        return true;
+      }
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
+// Parses a JSON text. Throws InvalidInput if it is malformed or nested too deeply.
+inline json parseJson(std::string_view text) {
+  if (isNestedTooDeeply(text)) {
+    throw InvalidInput(InputProblem::malformed, "", "JSON is nested too deeply");
+  }
+  json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (value.is_discarded()) {
+    throw InvalidInput(InputProblem::malformed, "", "not JSON");
+  }
+  return value;
+}
+
 // The functions below throw InvalidInput if the field is missing or has another type. The functions with a
 // default value return it if the field is missing or null.
 
--- a/src/protocol/message_request.cpp
+++ b/src/protocol/message_request.cpp
@@ -4,13 +4,17 @@
 #include <cstdlib>
 #include <optional>
 
+#include "protocol/delivery_request.h"
+
 namespace delivery {
 
 namespace {
 
 constexpr std::int64_t kMaxTimeToLiveMs = 24LL * 3600 * 1000;
 constexpr std::size_t kMaxDigits = 18;  // every number of 18 digits fits into 64 bits
-constexpr char kDeleteCharacter = 127;
+// Ids and idempotency keys are sent as header fields, whose size servers limit.
+constexpr std::size_t kMaxIdBytes = 256;
+constexpr std::size_t kMaxIdempotencyKeyBytes = 256;
 
 // Positions of the arguments in "MSG.PUT order-key id fields body".
 constexpr std::size_t kOrderKeyIndex = 1;
@@ -26,12 +30,6 @@
   return std::strtoll(text.c_str(), nullptr, 10);
 }
 
-// Ids and idempotency keys are sent as HTTP header values, which a space or a control character could end
-// early.
-bool isValidHeaderValue(const std::string& text) {
-  return std::none_of(text.begin(), text.end(), [](char c) { return c <= ' ' || c == kDeleteCharacter; });
-}
-
 std::string toUpper(std::string text) {
   for (char& c : text) {
     if (c >= 'a' && c <= 'z') {
@@ -132,13 +130,14 @@
   }
   message.id = arguments[kIdIndex];
   message.body = arguments[kBodyIndex];
-  if (message.id.empty() || !isValidHeaderValue(message.id)) {
+  if (message.id.empty() || message.id.size() > kMaxIdBytes || !isHeaderFieldValue(message.id)) {
     return RequestError::malformed_id;
   }
   if (const auto error = FieldListReader(message).read(arguments[kFieldListIndex])) {
     return *error;
   }
-  if (!isValidHeaderValue(message.idempotency_key)) {
+  if (message.idempotency_key.size() > kMaxIdempotencyKeyBytes ||
+      !isHeaderFieldValue(message.idempotency_key)) {
     return RequestError::malformed_idempotency_key;
   }
   return message;
--- a/tests/network/http_connection_test.cpp
+++ b/tests/network/http_connection_test.cpp
@@ -89,5 +89,46 @@
   EXPECT_EQ(200, response->status);
 }
 
+// Exchanges one request with an endpoint that sends these bytes and closes the connection.
+HttpResponse exchangeWith(const std::string& answer, HttpRequest request = {}) {
+  HttpServer server([&](const ReceivedRequest&) { return ServerAction{answer, true}; });
+  boost::asio::io_context io;
+  HttpConnection connection(io, parseAddress(server.address()), "e", 65536);
+  request.method = "POST";
+  request.target = "/hook";
+  std::optional<HttpResponse> response;
+  connection.exchange(std::move(request), 60'000'000, deadlineIn(60'000'000),
+                      [&](const HttpResponse& received) { response = received; });
+  while (!response) {
+    io.run_one_for(std::chrono::milliseconds(100));
+  }
+  return *response;
+}
+
+// Guards against a request field that is too long for Beast, which throws: the exchange ends, unwritten.
+TEST(HttpConnection, ARequestThatHttpCannotCarryEndsTheExchange) {
+  HttpRequest request;
+  request.fields.emplace_back("X-Txn", std::string(kMaxFieldValueBytes, 'a'));
+  EXPECT_EQ(200, exchangeWith(httpResponse("200 OK"), request).status);
+  request.fields.back().second += 'a';
+  EXPECT_EQ(ExchangeStatus::invalid_request, exchangeWith(httpResponse("200 OK"), request).completion);
+}
+
+// Guards against an answer whose parts outside of head and body are too long for Beast, which throws.
+TEST(HttpConnection, AnAnswerWithOverlongChunkLinesOrTrailersIsIncomplete) {
+  const std::string head = "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::size_t size : {65'000u, 65'536u, 70'000u, 300'000u}) {
+    const std::string text(size, 'a');
+    for (const std::string& rest : {"0\r\nX: " + text + "\r\n\r\n", "0\r\n" + text + ": x\r\n\r\n",
+                                    "0\r\nX: " + text, "1;" + text + "\r\nb\r\n0\r\n\r\n", "1;x=\"" + text}) {
+      const HttpResponse response = exchangeWith(head + rest);
+      EXPECT_EQ(ExchangeStatus::answered, response.completion);
+      EXPECT_EQ(500, response.status);
+      const bool is_well_formed = rest.substr(rest.size() - 4) == "\r\n\r\n";
+      EXPECT_EQ(is_well_formed && size < kMaxFieldValueBytes, response.body_complete) << size;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace delivery
--- a/tests/network/socket_address_test.cpp
+++ b/tests/network/socket_address_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <stdexcept>
+#include <string>
 
 namespace delivery {
 namespace {
@@ -17,6 +18,13 @@
   EXPECT_EQ(65535, v6.port());
 }
 
+// Guards against an address that is valid and too long for the Host field: leading zeros of a scope.
+TEST(SocketAddress, RejectsAnAddressThatIsTooLong) {
+  const std::string longest = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff%0000000001]:65535";
+  EXPECT_EQ(65535, parseAddress(longest).port());
+  EXPECT_THROW(parseAddress("[::1%" + std::string(66'000, '0') + "]:80"), std::invalid_argument);
+}
+
 TEST(SocketAddress, RejectsAnythingElse) {
   for (const char* address : {"", "10.0.0.4", "10.0.0.4:", ":6379", "10.0.0.4:65536", "10.0.0.4:123456",
                               "10.0.0.4:-1", "10.0.0.4:6x", "localhost:6379", "[]:6379"}) {
--- a/tests/process/handover_compatibility_test.cpp
+++ b/tests/process/handover_compatibility_test.cpp
@@ -211,6 +211,43 @@
   return replayJournal({std::istreambuf_iterator<char>(file), {}}, readClocks()).state.messages();
 }
 
+// ---- A predecessor of an earlier version holds a message that HTTP can't carry
+
+// Guards against an upgrade that ends the successor: the predecessor names a call with an id that HTTP can't
+// carry as in flight, and ends when it sends it. The message gets its notice, and the one beside it is
+// delivered.
+TEST(HandoverFromEarlierPredecessor, ACallThatHttpCannotCarryIsAbandoned) {
+  const std::string oversized_id(65'536, 'a');
+  TempFolder folder;
+  const std::string scratch = folder.path() + "-tmp";
+  std::filesystem::create_directories(scratch);
+  const json attempts = json::array({{{"endpoint", "e1"}, {"never_ran", false}}});
+  json message{{"class", "notice"}, {"idempotency_key", ""}, {"body", "b"}, {"destination", 7}};
+  message.update({{"message", oversized_id}, {"attempts", attempts}});
+  json other = message;
+  other.update({{"message", "other"}, {"attempts", json::array()}});
+  writeJournal(folder.path(), {message, other});
+  LockHolder lock(folder.path());
+  UnixSocket listener;
+  listener.listen(scratch + "/handover");
+  std::thread predecessor([&] {
+    UnixSocket link(listener.accept());
+    const json calls = json::array({json::array({oversized_id, 0})});
+    link.send(json{{"release", calls}}.dump());
+    lock.release();
+    EXPECT_EQ(R"({"serving":true})", link.readLine());
+  });
+  DiscoveryServer discovery;
+  HttpServer endpoint(respondOk);
+  SenderProgram successor(folder.path(), discovery.address(),
+                          json::array({endpointEntry("e1", endpoint.address(), 7)}));
+  predecessor.join();
+  ASSERT_TRUE(discovery.waitForNotice(oversized_id));
+  EXPECT_EQ("given_up", discovery.notice(oversized_id)["outcome"]);
+  ASSERT_TRUE(endpoint.waitForRequests(1));
+  EXPECT_EQ("other", endpoint.requests()[0].field("X-Txn"));
+}
+
 // ---- A recorded predecessor hands over to a real successor
 
 // The parameter is true if the outcomes of all calls arrive before the successor owns the journal.
--- a/tests/protocol/handover_messages_test.cpp
+++ b/tests/protocol/handover_messages_test.cpp
@@ -57,6 +57,19 @@
             encodeHandoverMessage(SuccessorMessage{RetryAfterNotice{"e1", 7}}));
 }
 
+// Guards against an attempt number that is used as an index without a check.
+TEST(HandoverMessages, AttemptNumbersOutOfRangeAreRejected) {
+  for (const char* number : {"-1", "2147483648", "18446744073709551615"}) {
+    const std::string call = std::string("[\"m\",") + number + "]";
+    EXPECT_THROW(decodePredecessor("{\"release\":[" + call + "]}"), InvalidInput) << number;
+    EXPECT_THROW(decodeSuccessor("{\"cancel\":" + call + "}"), InvalidInput) << number;
+    EXPECT_THROW(decodePredecessor(std::string("{\"outcome\":{\"id\":\"m\",\"attempt\":") + number +
+                                   ",\"result\":0,\"finished\":true,\"wait\":0,\"rtt\":1}}"),
+                 InvalidInput)
+        << number;
+  }
+}
+
 // A client may submit a message whose id is not UTF-8.
 TEST(HandoverMessages, InvalidUtf8IsReplaced) {
   EXPECT_EQ("{\"cancel\":[\"\xEF\xBF\xBD\",0]}",
--- a/tests/protocol/json_fields_test.cpp
+++ b/tests/protocol/json_fields_test.cpp
@@ -10,6 +10,18 @@
 namespace delivery {
 namespace {
 
+// Guards against a text whose nesting exhausts the stack when its value is copied or written.
+TEST(JsonFields, TextsThatAreNestedTooDeeplyAreRejected) {
+  const std::string open(kMaxJsonDepth, '[');
+  const std::string close(kMaxJsonDepth, ']');
+  EXPECT_TRUE(parseJson(open + close).is_array());
+  EXPECT_TRUE(parseJson("[\"\\\"" + open + open + "\"," + open.substr(1) + close).is_array());
+  for (const std::string& text : {open + "[]" + close, open + "{}" + close, std::string(1'000'000, '['),
+                                  std::string("[1"), std::string()}) {
+    EXPECT_THROW(parseJson(text), InvalidInput) << text.substr(0, 100);
+  }
+}
+
 // Operators find these texts in the log and in the error output of the simulator adapter.
 TEST(JsonFields, ErrorsNameTheFieldAndTheProblem) {
   const json object{{"name", "a"}, {"null", nullptr}, {"word", "unknown"}};
--- a/tests/protocol/message_request_test.cpp
+++ b/tests/protocol/message_request_test.cpp
@@ -66,6 +66,15 @@
   EXPECT_EQ("-ERR no dest", errorOf(parseMessageWith("c=order,d=8000")));
 }
 
+// Guards against ids and keys that an HTTP header field can't hold.
+TEST(MessageRequest, IdsAndIdempotencyKeysHaveAMaximumLength) {
+  const std::string longest(256, 'a');
+  EXPECT_EQ("", errorOf(parseMessageWith(kFields + ",k=" + longest, longest)));
+  EXPECT_EQ("-ERR malformed id", errorOf(parseMessageWith(kFields, longest + "a")));
+  EXPECT_EQ("-ERR malformed k", errorOf(parseMessageWith(kFields + ",k=" + longest + "a")));
+  EXPECT_EQ("-ERR malformed id", errorOf(parseMessageWith(kFields, "\xc3\xa9")));
+}
+
 TEST(MessageRequest, PingHasNoArgumentsAndOtherCommandsAreUnknown) {
   EXPECT_TRUE(std::holds_alternative<PingRequest>(parseClientRequest({"ping"})));
   EXPECT_EQ("-ERR wrong number of arguments", errorOf(parseClientRequest({"PING", "x"})));
