Read no record from inside the payload of a torn or damaged one

Cause: behind a record that can't be read, the scan looked for the next mark from the byte after the record's own mark, that is, in its payload, which holds a client's bytes. A whole record there passes both checksums, which need no secret. Change: the file ends at a torn write. The end of a damaged record is derived from two of its length, payload checksum and header checksum, and the next record has to continue the sequence numbers; version 1 likewise with what it has. Where the position is lost, accepted messages that are found end with a notice and are not sent, and all other records are ignored. Nothing is appended behind a partial write that can't be removed.

--- a/src/programs/journal_inspect.cpp
+++ b/src/programs/journal_inspect.cpp
@@ -88,6 +88,10 @@
   for (const ByteRange& range : journal.scan.damaged_ranges) {
     std::cout << "damaged: bytes " << range.begin << " to " << range.end << '\n';
   }
+  if (journal.scan.position_lost) {
+    std::cout << "position lost in the last damaged range: " << journal.scan.unverified_records.size()
+              << " unverified records, " << journal.abandoned_messages << " messages abandoned for them\n";
+  }
   std::cout << journal.scan.damaged_ranges.size() << " damaged ranges, " << journal.gaps << " gaps, "
             << journal.unreadable_records << " unreadable records, " << journal.contradictory_records
             << " contradictory records, " << journal.scan.duplicate_records << " duplicate records\n";
@@ -110,7 +114,7 @@
   }
   const ClockReadings now = delivery::readClocks();
   const ReplayResult journal = delivery::replayJournal(*data, now);
-  if (!data->empty() && journal.scan.records.empty()) {
+  if (!data->empty() && journal.scan.records.empty() && journal.scan.unverified_records.empty()) {
     std::cerr << "not a journal: " << path << '\n';
     return ExitCode::unreadable_or_usage;
   }
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -41,6 +41,7 @@
   report.gaps = replay.gaps;
   report.unreadable_records = replay.unreadable_records;
   report.contradictory_records = replay.contradictory_records;
+  report.abandoned_messages = replay.abandoned_messages;
   report.duplicate_records = replay.scan.duplicate_records;
   report.torn_write = replay.scan.torn_write;
   report.power_cut = replay.power_cut;
@@ -115,7 +116,11 @@
   quarantineDamage(content.data, replay.scan.damaged_ranges);
   truncateTornWrite(replay.scan);
   if (!canAppendTo(replay) && !compact()) {
-    appendUnknownAttempts();
+    if (replay.scan.position_lost) {
+      rewrite_required_ = true;  // the next process could not verify records that are appended
+    } else {
+      appendUnknownAttempts();
+    }
   }
   // The previous process may have been killed after a write or a rename and before its sync.
   if (options_.durable && (files_.sync(file_.get()) != 0 || files_.syncFolder(folder_) != 0)) {
@@ -149,6 +154,8 @@
   }
   if (files_.truncate(file_.get(), static_cast<off_t>(scan.valid_end)) == 0) {
     file_size_ = scan.valid_end;
+  } else {
+    rewrite_required_ = true;
   }
 }
 
@@ -319,11 +326,11 @@
   return true;
 }
 
-// A partial write does no harm: the buffer is written again with the same sequence numbers, and recovery
-// drops duplicates. After a failed sync the content on the disk is unknown, so a durable journal writes all
-// of it anew to another file.
+// Recovery ends at a partial write, so nothing may be appended to one that can't be removed. After a failed
+// sync the content on the disk is unknown. In both cases all of it is written anew to another file.
 void Journal::undoFailedAppend() {
   if (files_.truncate(file_.get(), static_cast<off_t>(file_size_)) != 0) {
+    rewrite_required_ = true;
     const off_t size = files_.size(file_.get());
     if (size >= 0) {
       file_size_ = static_cast<std::uint64_t>(size);
--- a/src/storage/journal_state.cpp
+++ b/src/storage/journal_state.cpp
@@ -90,6 +90,18 @@
   }
 }
 
+bool JournalState::abandonUnlessOpen(const std::string& message_id) {
+  AcceptedRecord accepted;
+  accepted.message.id = message_id;
+  if (applyRecord(accepted) != ApplyResult::applied) {
+    return false;
+  }
+  JournaledMessage& journaled = messages_.at(message_id);
+  journaled.attempts.push_back({"", kUnknownAttemptTime, false});
+  journaled.notice_pending = true;
+  return true;
+}
+
 void JournalState::limitDeadlines(Micros now) {
   for (auto& [message_id, journaled] : messages_) {
     SubmittedMessage& message = journaled.message;
--- a/src/storage/journal_state.h
+++ b/src/storage/journal_state.h
@@ -42,6 +42,10 @@
   // that it may be abandoned although it was never sent.
   void assumeUnknownAttempts();
 
+  // Adds a message that is not open as one that may have been attempted and whose notice is pending. Only its
+  // id is kept. Returns false if a message with this id is open.
+  bool abandonUnlessOpen(const std::string& message_id);
+
   // Lowers deadlines so that no message has more time left at `now` than its whole time to live.
   void limitDeadlines(Micros now);
 
--- a/src/storage/record_frame.h
+++ b/src/storage/record_frame.h
@@ -29,12 +29,14 @@
 struct FrameParseResult {
   enum class Status {
     valid,
-    invalid,    // the mark is missing, a checksum is wrong, or the length is impossible
-    truncated,  // the frame header is valid, but the data ends before the payload does
+    invalid,          // the mark is missing, the header's checksum is wrong, or the length is impossible
+    invalid_payload,  // the payload does not have its checksum
+    truncated,        // the data ends before the payload does, if the length is right
   };
   Status status = Status::invalid;
-  FramedRecord record;         // set only if the frame is valid
-  std::size_t frame_size = 0;  // in bytes; set only if the frame is valid
+  FramedRecord record;            // set only if the frame is valid
+  std::size_t frame_size = 0;     // in bytes, as the header states it; 0 if the frame is invalid
+  bool size_is_verified = false;  // the header's checksum is right; version 1 has none
 };
 
 // Returns a frame of version 2 with this payload.
--- a/src/storage/record_scanner.cpp
+++ b/src/storage/record_scanner.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string_view>
 
+#include "storage/damaged_frame.h"
+
 namespace delivery {
 namespace {
 
@@ -16,59 +18,103 @@
     while (offset_ < data_.size()) {
       scanNext();
     }
-    if (unreadable_from_) {
-      classifyTail();
+    if (damaged_from_) {
+      result_.damaged_tail = true;
+      result_.damaged_ranges.push_back({*damaged_from_, data_.size()});
     }
     sortAndDropDuplicates();
     return std::move(result_);
   }
 
  private:
+  using Status = FrameParseResult::Status;
+
   void scanNext() {
     const FrameParseResult frame = parseFrame(data_, offset_);
-    if (frame.status == FrameParseResult::Status::valid) {
-      addRecord(frame);
+    if (frame.status == Status::valid) {
+      addOrReject(frame);
+    } else if (isTornWrite(frame)) {
+      result_.torn_write = !damaged_from_;
+      offset_ = data_.size();
     } else {
-      skipToNextMark(frame.status);
+      skipDamagedFrame();
     }
   }
 
-  void addRecord(const FrameParseResult& frame) {
+  void addOrReject(const FrameParseResult& frame) {
+    if (damaged_from_ && !continuesAfterDamage(frame.record)) {
+      losePosition();
+      return;
+    }
     FramedRecord record = frame.record;
     if (record.version == 1) {
       record.sequence_number = nextVersion1Number();
     }
-    if (unreadable_from_) {
-      result_.damaged_ranges.push_back({*unreadable_from_, offset_});
+    if (damaged_from_) {
+      result_.damaged_ranges.push_back({*damaged_from_, offset_});
     }
-    unreadable_from_.reset();
-    last_sequence_number_ = record.sequence_number;
+    damaged_from_.reset();
+    damaged_frames_ = 0;
+    last_ = record;
     result_.records.push_back(record);
     offset_ += frame.frame_size;
     result_.valid_end = offset_;
   }
 
+  // Whether a record can be the next one after the damaged frames, judging by the sequence numbers. If frames
+  // at the end of a file are damaged, the next process may use their numbers again.
+  bool continuesAfterDamage(const FramedRecord& record) const {
+    if (!last_ || last_->version == 1) {
+      return true;
+    }
+    return record.version != 1 && record.sequence_number > last_->sequence_number &&
+           record.sequence_number - last_->sequence_number <= damaged_frames_ + 1;
+  }
+
   // Version 1 has no sequence numbers, so its records are numbered here. One number is skipped for each
   // damaged range, so that the range counts as a gap.
-  std::uint64_t nextVersion1Number() const { return last_sequence_number_ + (unreadable_from_ ? 2 : 1); }
+  std::uint64_t nextVersion1Number() const {
+    return (last_ ? last_->sequence_number : 0) + (damaged_from_ ? 2 : 1);
+  }
 
-  void skipToNextMark(FrameParseResult::Status status) {
-    if (!unreadable_from_) {
-      unreadable_from_ = offset_;
-      looks_torn_ =
-          status == FrameParseResult::Status::truncated || data_.size() - offset_ < kFrameHeaderBytes;
+  // Nothing can follow an incomplete write. In version 1 a damaged length may look like one.
+  bool isTornWrite(const FrameParseResult& frame) const {
+    if (frame.status == Status::truncated) {
+      return frame.size_is_verified || !sizeOfDamagedFrame(data_, offset_);
     }
-    offset_ = std::min(data_.find(kFrameMark, offset_ + 1), data_.size());
+    return data_.size() - offset_ < kFrameHeaderBytes;
   }
 
-  // Frame headers of version 1 have no checksum, so a torn write can't be told from damage. A torn write
-  // is assumed, as it is the more likely cause.
-  void classifyTail() {
-    const bool ends_in_version_1 = !result_.records.empty() && result_.records.back().version == 1;
-    result_.torn_write = looks_torn_ || ends_in_version_1;
-    result_.damaged_tail = !result_.torn_write;
-    if (result_.damaged_tail) {
-      result_.damaged_ranges.push_back({*unreadable_from_, data_.size()});
+  void skipDamagedFrame() {
+    if (!damaged_from_) {
+      damaged_from_ = offset_;
+    }
+    ++damaged_frames_;
+    if (const auto size = sizeOfDamagedFrame(data_, offset_)) {
+      offset_ += *size;
+    } else {
+      losePosition();
+    }
+  }
+
+  void losePosition() {
+    result_.position_lost = true;
+    findUnverifiedRecords(*damaged_from_ + 1);
+    offset_ = data_.size();
+  }
+
+  void findUnverifiedRecords(std::size_t offset) {
+    std::size_t rejected_bytes = 0;
+    for (offset = data_.find(kFrameMark, offset);
+         offset < data_.size() && rejected_bytes < kMaxRejectedBytes;) {
+      const FrameParseResult frame = parseFrame(data_, offset);
+      if (frame.status == Status::valid) {
+        result_.unverified_records.push_back(frame.record);
+        offset = data_.find(kFrameMark, offset + frame.frame_size);
+      } else {
+        rejected_bytes += frame.status == Status::invalid_payload ? frame.frame_size : 0;
+        offset = data_.find(kFrameMark, offset + 1);
+      }
     }
   }
 
@@ -84,11 +130,15 @@
     records.erase(unique_end, records.end());
   }
 
+  // How many bytes of frames with a wrong checksum are read in the search for unverified records. It bounds
+  // the time that a file with very many marks takes.
+  static constexpr std::size_t kMaxRejectedBytes = 512u << 20;
+
   std::string_view data_;
   std::size_t offset_ = 0;
-  std::uint64_t last_sequence_number_ = 0;      // of the latest valid record
-  std::optional<std::size_t> unreadable_from_;  // the begin of the range that is being skipped
-  bool looks_torn_ = false;                     // that range is a torn write if no valid record follows
+  std::optional<FramedRecord> last_;         // the latest valid record
+  std::optional<std::size_t> damaged_from_;  // the begin of the damaged frames after that record
+  std::size_t damaged_frames_ = 0;           // their number
   ScanResult result_;
 };
 
--- a/src/storage/recovery.cpp
+++ b/src/storage/recovery.cpp
@@ -24,6 +24,9 @@
     if (result_.scan.damaged_tail || result_.power_cut) {
       result_.state.assumeUnknownAttempts();
     }
+    for (const FramedRecord& record : result_.scan.unverified_records) {
+      abandonUnverifiedMessage(record);
+    }
     if (!result_.clock_continues) {
       result_.state.limitDeadlines(now_.monotonic);
     }
@@ -94,6 +97,21 @@
     result_.state.assumeUnknownAttempts();
   }
 
+  // A message in an unverified record may have been accepted, or a client may have written the record into a
+  // body. Therefore it is never sent, and ends with a notice. All other unverified records are ignored: what
+  // they may say about open messages is covered by the unknown attempts that a damaged tail adds.
+  void abandonUnverifiedMessage(const FramedRecord& record) try {
+    if (recordTypeOf(record.payload) != RecordType::accepted) {
+      return;
+    }
+    Record decoded = decodeRecord(record.payload, record.version, result_.clock);
+    if (result_.state.abandonUnlessOpen(std::get<AcceptedRecord>(decoded).message.id)) {
+      ++result_.abandoned_messages;
+    }
+  } catch (const RecordDecodeError&) {
+    return;
+  }
+
   const ClockReadings& now_;
   ReplayResult result_;
   Micros newest_stored_time_ = 0;  // see PersistentClock
--- a/src/storage/recovery.h
+++ b/src/storage/recovery.h
@@ -21,6 +21,7 @@
   std::size_t contradictory_records = 0;  // ignored, as they do not fit the earlier ones
   std::size_t unreadable_records = 0;     // of an unknown type or a newer version, or too short
   std::size_t gaps = 0;                   // ranges of missing sequence numbers
+  std::size_t abandoned_messages = 0;     // found in unverified records, and given a notice
   std::uint64_t next_sequence_number = 1;
   bool power_cut = false;        // the machine has rebooted, and the file was written without syncs
   bool clock_continues = false;  // the monotonic clock is still that of the process that wrote the file
--- a/src/storage/recovery_report.cpp
+++ b/src/storage/recovery_report.cpp
@@ -38,6 +38,7 @@
   list.addCountUnlessZero("gaps", gaps);
   list.addCountUnlessZero("unreadable_records", unreadable_records);
   list.addCountUnlessZero("contradictory_records", contradictory_records);
+  list.addCountUnlessZero("abandoned_messages", abandoned_messages);
   list.addCountUnlessZero("duplicate_records", duplicate_records);
   list.addIfTrue("torn_write", torn_write);
   list.addIfTrue("power_cut", power_cut);
--- a/src/storage/recovery_report.h
+++ b/src/storage/recovery_report.h
@@ -17,6 +17,7 @@
   std::size_t gaps = 0;                   // ranges of missing sequence numbers
   std::size_t unreadable_records = 0;     // valid frames whose payload can't be decoded
   std::size_t contradictory_records = 0;  // ignored, as they do not fit the earlier ones
+  std::size_t abandoned_messages = 0;     // found where the position in the file was lost
   std::size_t duplicate_records = 0;      // ignored, as an earlier record has the same sequence number
   bool torn_write = false;                // the newest write is incomplete
   bool power_cut = false;                 // the machine has rebooted, and the file was written without syncs
