Evict a connection that only pings after a few replies, however often it pings

Cause: a connection that has submitted nothing is evictable after 20 ms without activity, and each PING counts as activity. Change: after four replies without a message it is evictable at once between two requests, unless its next one has arrived. Evidence: on the unchanged program the new test on made-up time fails.

--- a/src/network/client_admission.cpp
+++ b/src/network/client_admission.cpp
@@ -140,7 +140,7 @@
 void ClientAdmission::onReplyStarted(ConnectionId id, bool has_submitted, Micros now) {
   ClientConnection& connection = clients_.connections.at(id);
   connection.has_submitted = connection.has_submitted || has_submitted;
-  connection.has_been_answered = true;
+  ++connection.replies;
   deadlines_.set(id, now + kReplyWriteTimeout);
 }
 
--- a/src/network/client_connection.h
+++ b/src/network/client_connection.h
@@ -8,7 +8,8 @@
 //                             that is earlier
 //     awaiting_reply          none; 1 s to write the reply        never
 //     idle                    60 s if it has submitted, else 2 s  2 s if it has submitted (4 s while another
-//                                                                 peer has more connections), else 20 ms
+//                                                                 peer has more connections), else 20 ms for
+//                                                                 its first requests, then none
 //     discarding_input        1 s                                 500 ms
 //
 // A connection "has submitted" once a message from it was accepted or rejected as busy.
@@ -43,7 +44,7 @@
   Micros last_activity_at = 0;  // when bytes last arrived or a reply was last written
   std::size_t buffered_bytes = 0;
   bool has_submitted = false;       // a message was accepted or rejected as busy
-  bool has_been_answered = false;   // it got a reply to any request
+  std::size_t replies = 0;          // to any requests
   bool has_open_request = false;    // a request is being processed; false in awaiting_reply: it is queued
   bool is_stalled = false;          // it is not read from because the buffer pool is used up
   bool has_unread_input = false;    // its socket holds unread input
--- a/src/network/client_eviction.cpp
+++ b/src/network/client_eviction.cpp
@@ -11,6 +11,10 @@
 // How long a connection of each kind must have been inactive before it may be evicted. An unproductive
 // connection is one that has submitted no message.
 constexpr Micros kUnproductiveInactivity = 20 * kMicrosPerMillisecond;
+// After more replies than this, a connection that has submitted no message may be evicted at once between two
+// requests. Otherwise peers that send PING more often than every 20 ms would never be inactive for long
+// enough.
+constexpr std::size_t kMaxProtectedReplies = 4;
 constexpr Micros kPartialRequestInactivity = 500 * kMicrosPerMillisecond;
 constexpr Micros kDiscardingInactivity = 500 * kMicrosPerMillisecond;
 constexpr Micros kIdleClientInactivity = 2000 * kMicrosPerMillisecond;
@@ -68,7 +72,7 @@
       return connection.has_submitted ? std::nullopt : std::optional<Micros>(kPartialRequestInactivity);
     case ClientState::idle:
       if (!connection.has_submitted) {
-        return kUnproductiveInactivity;
+        return connection.replies > kMaxProtectedReplies ? 0 : kUnproductiveInactivity;
       }
       return connection.peer->connections < max_connections_per_peer ? kIdleClientOfSmallerPeerInactivity
                                                                      : kIdleClientInactivity;
@@ -130,7 +134,7 @@
     rank.peer_connections = static_cast<std::int64_t>(connection.peer->connections);
     rank.has_submitted = connection.has_submitted;
     rank.is_reading = connection.state == ClientState::reading_request;
-    rank.has_been_answered = connection.has_been_answered;
+    rank.has_been_answered = connection.replies > 0;
     rank.last_activity_at = connection.last_activity_at;
     rank.id = id;
     return rank;
--- a/tests/network/client_eviction_test.cpp
+++ b/tests/network/client_eviction_test.cpp
@@ -119,6 +119,26 @@
   }
 }
 
+// Guards against a crowd that is never inactive: peers that send PING without a pause must not keep the table
+// full.
+TEST(ClientEviction, AConnectionThatPingsWithoutAPauseIsEvictableAfterAFewReplies) {
+  ClientAdmission clients(smallBudget(1));
+  const ConnectionId id = clients.onAccepted("a", 0);
+  constexpr int kProtectedReplies = 4;
+  for (int reply = 1; reply <= kProtectedReplies + 1; ++reply) {
+    const Micros now = 10 * kMs * reply;
+    clients.onBytesReceived(id, 10, now);
+    ASSERT_EQ(RequestAdmission::process_now, clients.onRequestComplete(id, now));
+    EXPECT_FALSE(clients.evictionCandidate(now)) << "its reply is pending";
+    clients.onRequestConsumed(id, 0);
+    clients.onReplyStarted(id, false, now);
+    ASSERT_EQ(AfterReply::keep_open, clients.onReplyWritten(id, false, now));
+    EXPECT_EQ(reply > kProtectedReplies, clients.evictionCandidate(now).has_value()) << reply;
+  }
+  clients.onUnreadInput(id);
+  EXPECT_FALSE(clients.evictionCandidate(kSecond)) << "its next request has arrived";
+}
+
 // 400 connections per second, each from an address of its own, send PING once and stay open, while most of
 // the table is idle clients. Each new connection must be accepted well within the 400 ms for which a client
 // waits for its reply.
