Bound what an answer transfers behind its head, and read it chunk by chunk

Cause: the limits on head and body do not count chunk lines and trailers. The read buffer has had a limit since; the bytes that pass through it had none, and the parser read all chunks that were there in one call. Change: the body is read chunk by chunk, also after the time-out, up to four times the body's limit; beyond that the answer is incomplete.

--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -28,6 +28,9 @@
 // The limit of what is read and not parsed yet, such as a chunk header or the trailer behind the last chunk.
 // Beast throws for a longer header field.
 constexpr std::size_t kMaxReadBufferBytes = kMaxFieldValueBytes;
+// How many bytes a response may have behind its head, for each byte that its body may have: a chunk adds its
+// size, and may add extensions and fields, which have no meaning here.
+constexpr std::size_t kMaxTransferredPerBodyByte = 4;
 constexpr int kMaxInformationalHeads = 16;     // how many heads with status 1xx are skipped in one exchange
 constexpr Micros kCancelRetryInterval = 1000;  // until the read in progress is cancelled again
 constexpr int kHttpVersion = 11;
@@ -131,6 +134,7 @@
     on_response_ = std::move(on_response);
     progress_ = std::move(progress);
     informational_heads_ = 0;
+    transferred_bytes_ = 0;
     request_written_ = false;
     head_received_ = false;
     keep_alive_ = false;
@@ -308,13 +312,27 @@
   }
 
   void readBody() {
-    http::async_read(socket_, read_buffer_, *parser_, forThisExchange([this](error_code error, std::size_t) {
-                       if (error == asio::error::operation_aborted) {
-                         readWithoutWaiting();
-                       } else {
-                         finishWithResponse(!error);
-                       }
-                     }));
+    if (!needsMoreBody()) {
+      finishWithResponse(parser_->is_done());
+      return;
+    }
+    http::async_read_some(socket_, read_buffer_, *parser_,
+                          forThisExchange([this](error_code error, std::size_t bytes) {
+                            transferred_bytes_ += bytes;
+                            if (error == asio::error::operation_aborted) {
+                              readWithoutWaiting();
+                            } else if (error) {
+                              finishWithResponse(false);
+                            } else {
+                              readBody();
+                            }
+                          }));
+  }
+
+  // False if the response is complete, or longer than any that has a meaning. The parser is not eager, so
+  // that each read ends after one chunk at most.
+  bool needsMoreBody() const {
+    return !parser_->is_done() && transferred_bytes_ / kMaxTransferredPerBodyByte <= max_body_bytes_;
   }
 
   // Used after the time limit: reads what is in the socket without waiting, and ends the exchange.
@@ -325,11 +343,11 @@
       http::read_header(socket_, read_buffer_, *parser_, error);
       head_received_ = !error && !skipInformationalHead();
     }
-    if (!error) {
-      http::read(socket_, read_buffer_, *parser_, error);
+    while (!error && needsMoreBody()) {
+      transferred_bytes_ += http::read_some(socket_, read_buffer_, *parser_, error);
     }
     if (head_received_ || statusLineSaysOk()) {
-      finishWithResponse(!error);
+      finishWithResponse(!error && parser_->is_done());
     } else if (error == asio::error::would_block) {
       finishWithFailure(ExchangeStatus::timed_out);
     } else {
@@ -439,7 +457,8 @@
   OnResponse on_response_;
   ProgressCallbacks progress_;
   int informational_heads_ = 0;
-  bool is_reused_ = false;  // the connection was open when the exchange began
+  std::size_t transferred_bytes_ = 0;  // of the response, behind its head
+  bool is_reused_ = false;             // the connection was open when the exchange began
   bool request_written_ = false;
   bool head_received_ = false;
   bool keep_alive_ = false;
--- a/tests/network/http_connection_test.cpp
+++ b/tests/network/http_connection_test.cpp
@@ -114,6 +114,26 @@
   EXPECT_EQ(ExchangeStatus::invalid_request, exchangeWith(httpResponse("200 OK"), request).completion);
 }
 
+// Guards against an answer that ends late and holds next to no body: the bytes around the body are limited
+// too.
+TEST(HttpConnection, AnAnswerOfMostlyChunkExtensionsEndsTheExchange) {
+  std::string answer = "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "1;" + std::string(1000, 'a') + "\r\nb\r\n";
+  const std::string last_chunk = "0\r\n\r\n";
+  std::string short_answer = answer;
+  for (int i = 0; i < 200; ++i) {
+    short_answer += chunk;
+  }
+  EXPECT_TRUE(exchangeWith(short_answer + last_chunk).body_complete);
+  for (int i = 0; i < 10'000; ++i) {
+    answer += chunk;
+  }
+  const HttpResponse response = exchangeWith(answer + last_chunk);
+  EXPECT_EQ(500, response.status);
+  EXPECT_FALSE(response.body_complete);
+  EXPECT_LT(response.body.size(), 1000u);
+}
+
 // Guards against an answer whose parts outside of head and body are too long for Beast, which throws.
 TEST(HttpConnection, AnAnswerWithOverlongChunkLinesOrTrailersIsIncomplete) {
   const std::string head = "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n";
