--- a/src/network/http_connection.h
+++ b/src/network/http_connection.h
@@ -39,9 +39,8 @@
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   // Opens the connection if it is not open, within `connect_timeout`, writes the request and reads the
-  // response until `deadline`. Calls `on_response` once, with invalid_request if HTTP can't carry the
-  // request. Must not be called while another exchange is in
-  // progress.
+  // response until `deadline`. Calls `on_response` once; with invalid_request if HTTP can't
+  // carry the request. Must not be called while another exchange is in progress.
   void exchange(HttpRequest request, Micros connect_timeout, Deadline deadline, OnResponse on_response,
                 ProgressCallbacks progress = {});
 
--- a/tests/storage/forged_record_test.cpp
+++ b/tests/storage/forged_record_test.cpp
@@ -233,6 +233,36 @@
   expect_none(replayJournal(before + carrier.substr(12) + after, kNow));
 }
 
+// Guards against an accepted message that the next process can't verify: if recovery can't remove a torn
+// write, or can't write a file anew in which the position is lost, nothing is appended to that file.
+TEST(ForgedRecords, NothingIsAppendedToAFileThatRecoveryCouldNotMend) {
+  const ForgedJournal forged;
+  const std::string torn = forged.before + forged.forged.substr(0, forged.forged.size() - 1);
+  const std::string lost = concatenated(forged.before, forged.forged.substr(kFrameHeaderBytes), forged.after);
+  for (const std::string& content : {torn, lost}) {
+    for (int failing_call = 1; failing_call < 16; ++failing_call) {
+      SCOPED_TRACE(failing_call);
+      SimulatedDisk disk;
+      disk.setContent(kJournalPath, content);
+      disk.fail_errno = EIO;
+      disk.fail_from = failing_call;
+      disk.fail_count = 1;
+      bool accepted = false;
+      try {
+        Journal journal(kFolder, {kDiskBytes}, kNow, disk);
+        journal.recordAccepted(testMessage("fresh"));
+        accepted = journal.flush() || journal.flush();
+      } catch (const JournalError&) {
+        continue;  // the file could not be opened
+      }
+      const ReplayResult replay = replayJournal(disk.content(kJournalPath), kNow);
+      EXPECT_TRUE(accepted);
+      EXPECT_TRUE(isOpen(replay, "fresh"));
+      EXPECT_FALSE(isOpen(replay, kForgedId));
+    }
+  }
+}
+
 // Guards against a record that the scan does not reach: a partial write that can't be removed must not be
 // followed by further records, as the scan ends at it.
 TEST(ForgedRecords, NothingIsAppendedBehindAPartialWrite) {
