--- a/tests/process/forged_record_process_test.cpp
+++ b/tests/process/forged_record_process_test.cpp
@@ -8,40 +8,30 @@
 #include "storage/journal.h"
 #include "storage/record_buffer.h"
 #include "support/loopback.h"
+#include "support/submitted_messages.h"
 
 namespace delivery {
 namespace {
 
 using namespace loopback;
 
-SubmittedMessage messageFor(const std::string& id) {
-  SubmittedMessage message;
-  message.id = id;
-  message.message_class = "payment";
-  message.body = "body";
-  message.destination = 7;
-  message.time_to_live = 28'000'000;
-  message.deadline = Deadline::after(monotonicNow(), message.time_to_live);
-  return message;
-}
-
 // Writes a journal of three messages. The second one, "carrier", holds a record of a message "forged" again
 // and again in its body. Returns the position of the carrier's record in the file.
 std::size_t writeJournal(const std::string& folder) {
   const std::string path = folder + "/journal";
   Journal journal(folder, {3'000'000});
-  journal.recordAccepted(messageFor("first"));
+  journal.recordAccepted(messageFor("first", "payment"));
   EXPECT_TRUE(journal.flush());
   const std::size_t carrier_at = std::filesystem::file_size(path);
   const PersistentClock clock = PersistentClock::startingNow(readClocks());
-  SubmittedMessage carrier = messageFor("carrier");
+  SubmittedMessage carrier = messageFor("carrier", "payment");
   for (std::uint64_t number = 1; number < 100; ++number) {
     RecordBuffer record(clock, number);
-    record.append(AcceptedRecord{messageFor("forged")});
+    record.append(AcceptedRecord{messageFor("forged", "payment")});
     carrier.body += record.data();
   }
   journal.recordAccepted(carrier);
-  journal.recordAccepted(messageFor("last"));
+  journal.recordAccepted(messageFor("last", "payment"));
   EXPECT_TRUE(journal.flush());
   return carrier_at;
 }
@@ -55,14 +45,6 @@
   std::ofstream(folder + "/journal", std::ios::binary) << content;
 }
 
-std::set<std::string> idsReceivedBy(HttpServer& endpoint) {
-  std::set<std::string> ids;
-  for (const ReceivedRequest& request : endpoint.requests()) {
-    ids.insert(request.field("X-Txn"));
-  }
-  return ids;
-}
-
 // Guards against a message that nobody has submitted, after a kill in the middle of a write.
 TEST(ForgedRecordsInTheProgram, AfterATornWriteNoneIsSent) {
   TempFolder folder;
--- a/tests/process/oversized_input_test.cpp
+++ b/tests/process/oversized_input_test.cpp
@@ -3,6 +3,7 @@
 // and discovery's list. HTTP can't carry them, and they must not end the process.
 #include "storage/journal.h"
 #include "support/loopback.h"
+#include "support/submitted_messages.h"
 
 namespace delivery {
 namespace {
@@ -12,17 +13,6 @@
 // 3 bytes more than Beast stores in a header field.
 const std::string kOversizedText(65'536, 'a');
 
-SubmittedMessage messageFor(const std::string& id, const std::string& message_class) {
-  SubmittedMessage message;
-  message.id = id;
-  message.message_class = message_class;
-  message.body = "body";
-  message.destination = 7;
-  message.time_to_live = 28'000'000;
-  message.deadline = Deadline::after(monotonicNow(), message.time_to_live);
-  return message;
-}
-
 // Writes the journal of an earlier version, which accepted ids of any length and ended at the first attempt
 // to send one.
 void writeJournalWithOversizedIds(const std::string& folder) {
@@ -45,14 +35,6 @@
   }
 }
 
-std::set<std::string> idsReceivedBy(HttpServer& endpoint) {
-  std::set<std::string> ids;
-  for (const ReceivedRequest& request : endpoint.requests()) {
-    ids.insert(request.field("X-Txn"));
-  }
-  return ids;
-}
-
 // Guards against a client whose request ends the process: an id that HTTP can't carry was accepted.
 TEST(OversizedInput, AnIdOrIdempotencyKeyThatHttpCannotCarryIsRejected) {
   SenderSetup setup(respondOk);
