Move the idle connections to endpoints out of the pool

Change: IdleConnections keeps, selects and closes the idle connections; EndpointPool makes the calls. What is done does not change.

--- a/src/network/endpoint_pool.cpp
+++ b/src/network/endpoint_pool.cpp
@@ -17,9 +17,6 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 65536;
-// An idle connection is closed earlier than the endpoint would close it, by 1/20 of the endpoint's idle
-// timeout, so that no request is sent while the endpoint closes the connection.
-constexpr Micros kIdleMarginDivisor = 20;
 
 // Whether the connection may be kept after a call. The decision module counts idle connections itself, and
 // assumes that the connection is kept after these results.
@@ -40,7 +37,7 @@
       accounting_(accounting),
       on_outcome_(std::move(on_outcome)),
       on_calls_withdrawn_(std::move(on_calls_withdrawn)),
-      idle_timer_(io) {}
+      idle_(io, limits.idle_timeout, accounting) {}
 
 void EndpointPool::setEndpoint(const std::string& endpoint, const std::string& address, bool has_own_route) {
   Endpoint& entry = endpoints_[endpoint];
@@ -96,27 +93,20 @@
   return true;
 }
 
-// Assigns the most recently used idle connection to the call. Returns false if there is none.
+// Assigns an idle connection to the call. Returns false if there is none.
 bool EndpointPool::reuseIdleConnection(Call& call) {
-  auto& idle = idle_[call.endpoint];
-  while (!idle.empty()) {
-    std::unique_ptr<HttpConnection> connection = std::move(idle.back().connection);
-    idle.pop_back();
-    if (connection->isReusable()) {
-      accounting_.onReused(call.endpoint);
-      call.connection = std::move(connection);
-      call.connection_state = ConnectionState::in_use;
-      return true;
-    }
-    accounting_.onIdleClosed(call.endpoint);
+  call.connection = idle_.take(call.endpoint);
+  if (!call.connection) {
+    return false;
   }
-  return false;
+  call.connection_state = ConnectionState::in_use;
+  return true;
 }
 
 // Whether a connection may be opened. Closes an idle connection to another endpoint if that makes room.
 bool EndpointPool::canOpenConnection(const std::string& endpoint) {
   if (const auto other = accounting_.evictionCandidateToOpen(endpoint)) {
-    closeOldestIdle(*other);
+    idle_.closeOldest(*other);
   }
   return accounting_.canOpen(endpoint);
 }
@@ -355,97 +345,17 @@
   return ids;
 }
 
-void EndpointPool::closeAllIdle() {
-  for (const auto& [endpoint, idle] : idle_) {
-    accounting_.onIdleClosed(endpoint, idle.size());
-  }
-  idle_.clear();
-}
-
-void EndpointPool::closeIdle(const std::string& endpoint) {
-  const auto entry = idle_.find(endpoint);
-  if (entry == idle_.end()) {
-    return;
-  }
-  accounting_.onIdleClosed(endpoint, entry->second.size());
-  idle_.erase(entry);
-}
-
-void EndpointPool::closeOldestIdle(const std::string& endpoint) {
-  idle_.at(endpoint).pop_front();
-  accounting_.onIdleClosed(endpoint);
-}
-
 void EndpointPool::applyBudget() {
-  while (const auto endpoint = accounting_.excessIdleCandidate()) {
-    closeOldestIdle(*endpoint);
-  }
+  idle_.closeExcess();
   startQueued();
 }
 
 // Keeps the call's connection idle, unless it is closed, the endpoint's address has changed or there is no
 // room for one more.
 void EndpointPool::keepIdle(Call& call) {
-  if (!call.connection->isReusable() || call.address != endpoints_[call.endpoint].address) {
-    return;
-  }
-  if (!accounting_.canKeepIdle()) {
-    const auto other = accounting_.idleEvictionCandidate(call.endpoint);
-    if (!other) {
-      return;
-    }
-    closeOldestIdle(*other);
-  }
-  accounting_.onIdle(call.endpoint);
-  call.connection_state = ConnectionState::none;
-  idle_[call.endpoint].push_back({std::move(call.connection), monotonicNow()});
-  scheduleIdleSweep();
-}
-
-// How long a connection is kept idle.
-Micros EndpointPool::maxIdleTime() const {
-  return limits_.idle_timeout - limits_.idle_timeout / kIdleMarginDivisor;
-}
-
-void EndpointPool::scheduleIdleSweep() {
-  if (idle_sweep_scheduled_ || limits_.idle_timeout <= 0) {
-    return;
-  }
-  const Micros now = monotonicNow();
-  closeExpiredIdle(now);
-  const std::optional<Micros> next = nextIdleExpiry();
-  if (!next) {
-    return;
-  }
-  idle_sweep_scheduled_ = true;
-  idle_timer_.expires_after(std::chrono::microseconds(*next - now));
-  idle_timer_.async_wait([this](const boost::system::error_code& cancelled) {
-    if (cancelled) {
-      return;
-    }
-    idle_sweep_scheduled_ = false;
-    scheduleIdleSweep();
-  });
-}
-
-void EndpointPool::closeExpiredIdle(Micros now) {
-  for (const auto& [endpoint, idle] : idle_) {
-    while (!idle.empty() && now - idle.front().idle_since >= maxIdleTime()) {
-      closeOldestIdle(endpoint);
-    }
-  }
-}
-
-std::optional<Micros> EndpointPool::nextIdleExpiry() const {
-  std::optional<Micros> next;
-  for (const auto& [endpoint, idle] : idle_) {
-    if (idle.empty()) {
-      continue;
-    }
-    const Micros expiry = idle.front().idle_since + maxIdleTime();
-    next = next ? std::min(*next, expiry) : expiry;
+  if (call.address == endpoints_[call.endpoint].address && idle_.keep(call.endpoint, call.connection)) {
+    call.connection_state = ConnectionState::none;
   }
-  return next;
 }
 
 }  // namespace delivery
--- a/src/network/endpoint_pool.h
+++ b/src/network/endpoint_pool.h
@@ -18,6 +18,7 @@
 #include "common/events.h"
 #include "network/endpoint_connection_accounting.h"
 #include "network/http_connection.h"
+#include "network/idle_connections.h"
 #include "storage/submitted_message.h"
 
 namespace delivery {
@@ -57,8 +58,8 @@
   // the endpoint if it has its own route, otherwise those to the destination. Their result is not_sent.
   void onRetryAfter(const std::string& endpoint, std::int64_t destination);
   // Closes the idle connections to the endpoint.
-  void closeIdle(const std::string& endpoint);
-  void closeAllIdle();
+  void closeIdle(const std::string& endpoint) { idle_.close(endpoint); }
+  void closeAllIdle() { idle_.closeAll(); }
   // To be called after the budget of the accounting has changed.
   void applyBudget();
 
@@ -68,10 +69,6 @@
   std::size_t idleCount() const { return accounting_.idleCount(); }
 
  private:
-  struct IdleConnection {
-    std::unique_ptr<HttpConnection> connection;
-    Micros idle_since = 0;
-  };
   struct Endpoint {
     std::string address;
     bool has_own_route = false;
@@ -111,14 +108,7 @@
   void withdrawUnwritten(const std::function<bool(const Call&)>& matches);
   void postOutcome(const CallId& id, AttemptResult result, Micros started_at);
   void releaseConnection(Call& call);
-
-  // Idle connections.
   void keepIdle(Call& call);
-  void closeOldestIdle(const std::string& endpoint);
-  void scheduleIdleSweep();
-  void closeExpiredIdle(Micros now);
-  std::optional<Micros> nextIdleExpiry() const;
-  Micros maxIdleTime() const;
 
   boost::asio::io_context& io_;
   Limits limits_;
@@ -126,12 +116,10 @@
   OnOutcome on_outcome_;
   OnCallsWithdrawn on_calls_withdrawn_;
   std::map<std::string, Endpoint> endpoints_;
-  std::map<std::string, std::deque<IdleConnection>> idle_;  // by endpoint, oldest first
+  IdleConnections idle_;
   Calls calls_;
   std::set<CallId> unreported_;  // ended calls whose outcome is posted to the event loop
   std::deque<CallId> queued_;    // for a connection, oldest first; may contain calls that have ended
-  boost::asio::steady_timer idle_timer_;
-  bool idle_sweep_scheduled_ = false;  // idle_timer_ is set
 };
 
 }  // namespace delivery
