Take no data that comes without a request for a response

An endpoint sends a second copy of its response, or noise, shortly behind it; by then the connection was in use again, and the copy passed for the next response: messages were lost, charges ran twice. Cause: a connection could be used again as soon as its response was complete (EndpointPool, HttpConnection). A peer that coalesces its writes sends the copy only when the response is acknowledged, which happened with the next request. Idle connections are watched; data without a request closes the connection, is logged and counted, and the call is made on another one; the response before it stays good. Responses are acknowledged at once. No part of a request is written behind such data. Calls to discovery follow the same rules, and are made anew on a new connection when the old one is stale. The time spent on a stale connection counts towards connecting.

--- a/src/network/discovery_client.cpp
+++ b/src/network/discovery_client.cpp
@@ -3,6 +3,9 @@
 #include <chrono>
 #include <utility>
 
+#include "common/log.h"
+#include "network/quiet_time_policy.h"
+
 namespace delivery {
 
 namespace asio = boost::asio;
@@ -21,11 +24,37 @@
   if (is_stopped_) {
     return;
   }
-  if (!connection_ || !connection_->isReusable()) {
+  exchange(std::move(request), Deadline::after(monotonicNow(), timeout), std::move(on_response));
+}
+
+// Makes the request on the open connection, and on a new one if that turns out to be stale.
+void DiscoveryClient::exchange(HttpRequest request, Deadline deadline,
+                               HttpConnection::OnResponse on_response) {
+  if (!connection_ || !connection_->isIdle()) {
     connection_ = std::make_unique<HttpConnection>(io_, server_, host_, kMaxResponseBodyBytes);
   }
-  connection_->exchange(std::move(request), kConnectTimeout, Deadline::after(monotonicNow(), timeout),
-                        std::move(on_response));
+  HttpConnection::Timing timing;
+  timing.connect_timeout = kConnectTimeout;
+  timing.deadline = deadline;
+  timing.quiet_time = kMinQuietTime;
+  HttpRequest sent_request = request;
+  auto on_end = [this, request = std::move(request), deadline,
+                 on_response = std::move(on_response)](const HttpResponse& response) {
+    if (response.unsolicited_data_gap) {
+      onUnsolicitedData(*response.unsolicited_data_gap);
+    }
+    if (response.stale_connection) {
+      exchange(request, deadline, on_response);
+    } else {
+      on_response(response);
+    }
+  };
+  connection_->exchange(std::move(sent_request), timing, std::move(on_end));
+}
+
+void DiscoveryClient::onUnsolicitedData(Micros gap) {
+  ++unsolicited_data_count_;
+  logWarning("discovery", "unsolicited_data").field("gap_us", gap).field("count", unsolicited_data_count_);
 }
 
 void DiscoveryClient::backOff(Micros delay, std::function<void()> on_elapsed) {
--- a/src/network/discovery_client.h
+++ b/src/network/discovery_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,11 +29,15 @@
   void stop();
 
  private:
+  void exchange(HttpRequest request, Deadline deadline, HttpConnection::OnResponse on_response);
+  void onUnsolicitedData(Micros gap);
+
   boost::asio::io_context& io_;
   tcp::endpoint server_;
   std::string host_;
   std::unique_ptr<HttpConnection> connection_;
   boost::asio::steady_timer backoff_timer_;
+  std::int64_t unsolicited_data_count_ = 0;
   bool is_stopped_ = false;
 };
 
--- a/src/network/endpoint_pool.cpp
+++ b/src/network/endpoint_pool.cpp
@@ -95,7 +95,7 @@
 
 // Assigns an idle connection to the call. Returns false if there is none.
 bool EndpointPool::reuseIdleConnection(Call& call) {
-  call.connection = idle_.take(call.endpoint);
+  call.connection = idle_.take(call.endpoint, call.deadline);
   if (!call.connection) {
     return false;
   }
@@ -130,12 +130,16 @@
   if (call.connection_state == ConnectionState::opening) {
     callbacks.on_connected = [this, id] { onConnected(id); };
   }
-  const Micros queueing_time = call.queue_timer ? monotonicNow() - call.started_at : 0;
   call.queue_timer.reset();
+  // Queueing, and waiting for a connection that then could not be reused, count towards connecting.
+  const Micros waited = monotonicNow() - call.started_at;
+  HttpConnection::Timing timing;
+  timing.connect_timeout = std::max<Micros>(0, limits_.connect_timeout - waited);
+  timing.deadline = call.deadline;
+  timing.quiet_time = idle_.quietTime(call.endpoint);
   call.connection->exchange(
-      deliveryRequest(call.message), std::max<Micros>(0, limits_.connect_timeout - queueing_time),
-      call.deadline, [this, id](const HttpResponse& response) { onExchangeCompleted(id, response); },
-      std::move(callbacks));
+      deliveryRequest(call.message), timing,
+      [this, id](const HttpResponse& response) { onExchangeCompleted(id, response); }, std::move(callbacks));
 }
 
 void EndpointPool::onConnected(const CallId& id) {
@@ -239,6 +243,9 @@
   if (entry == calls_.end()) {
     return;
   }
+  if (response.unsolicited_data_gap) {
+    idle_.onUnsolicitedData(entry->second.endpoint, *response.unsolicited_data_gap);
+  }
   if (response.stale_connection && !entry->second.is_cancelled) {
     // Nothing was written, so the call is made on another connection.
     releaseConnection(entry->second);
--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -1,5 +1,9 @@
 #include "network/http_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -90,21 +94,18 @@
         host_(std::move(host)),
         max_body_bytes_(max_body_bytes) {}
 
-  void start(HttpRequest request, Micros connect_timeout, Deadline deadline, OnResponse on_response,
-             ProgressCallbacks progress) {
-    beginExchange(deadline, std::move(on_response), std::move(progress));
+  void start(HttpRequest request, const Timing& timing, OnResponse on_response, ProgressCallbacks progress) {
+    beginExchange(timing.deadline, std::move(on_response), std::move(progress));
     if (!prepareRequest(std::move(request))) {
       asio::post(socket_.get_executor(),
                  forThisExchange([this] { finishWithFailure(ExchangeStatus::invalid_request); }));
       return;
     }
-    const Micros remaining = deadline_.remaining(monotonicNow());
     if (is_open_) {
-      setTimer(remaining);
-      asio::post(socket_.get_executor(), forThisExchange([this] { write(); }));
+      writeOnceQuiet(timing.quiet_time);
       return;
     }
-    setTimer(std::min(connect_timeout, remaining));
+    setTimer(std::min(timing.connect_timeout, deadline_.remaining(monotonicNow())));
     socket_.async_connect(peer_, forThisExchange([this](error_code error) { onConnected(error); }));
   }
 
@@ -115,14 +116,22 @@
   void cancel() {
     ++exchange_id_;
     on_response_ = nullptr;
+    on_idle_end_ = nullptr;
     progress_ = {};
     timer_.cancel();
     close();
   }
 
-  // An idle connection that has something to read was closed by the peer, or the peer sent bytes without a
+  void watchIdle(OnIdleEnd on_idle_end) {
+    on_idle_end_ = std::move(on_idle_end);
+    watchInput();
+  }
+
+  bool isIdle() const { return is_open_ && !on_response_; }
+
+  // An idle connection that has something to read was closed by the peer, or the peer sent data without a
   // request. A request written to it would end with a reset, and it would be unknown whether it ran.
-  bool isReusable() { return is_open_ && !on_response_ && hasNothingToRead(); }
+  bool isReusable() { return isIdle() && pendingInput() == PendingInput::none; }
 
   bool requestWritten() const { return request_written_; }
 
@@ -132,6 +141,7 @@
     expectResponse();
     deadline_ = deadline;
     on_response_ = std::move(on_response);
+    on_idle_end_ = nullptr;
     progress_ = std::move(progress);
     informational_heads_ = 0;
     transferred_bytes_ = 0;
@@ -166,11 +176,17 @@
 
   // Sets the time limit: ends the exchange after `delay`. Replaces an earlier time limit.
   void setTimer(Micros delay) {
+    setTimer(delay, [this] { onTimeout(); });
+  }
+
+  // Calls `on_elapsed` after `delay`, unless the exchange ends or the timer is set again before.
+  template <class Handler>
+  void setTimer(Micros delay, Handler on_elapsed) {
     const std::uint64_t timer_id = ++timer_id_;  // the handler of an earlier time limit may be queued
     timer_.expires_after(std::chrono::microseconds(std::max<Micros>(0, delay)));
-    timer_.async_wait(forThisExchange([this, timer_id](error_code cancelled) {
+    timer_.async_wait(forThisExchange([this, timer_id, on_elapsed](error_code cancelled) {
       if (!cancelled && timer_id == timer_id_) {
-        onTimeout();
+        on_elapsed();
       }
     }));
   }
@@ -207,16 +223,32 @@
     write();
   }
 
+  // Writes the request once the open connection has been quiet for `quiet_time` since its last response. If
+  // there is input before that, the exchange ends.
+  void writeOnceQuiet(Micros quiet_time) {
+    const Micros now = monotonicNow();
+    const Micros wait = std::min(responded_at_ + quiet_time - now, deadline_.remaining(now));
+    if (wait <= 0) {
+      setTimer(deadline_.remaining(now));
+      asio::post(socket_.get_executor(), forThisExchange([this] { write(); }));
+      return;
+    }
+    if (!is_watching_) {
+      watchInput();
+    }
+    setTimer(wait, [this] {
+      setTimer(deadline_.remaining(monotonicNow()));
+      write();
+    });
+  }
+
   void write() {
+    stopWatchingInput();
     const Micros remaining = deadline_.remaining(monotonicNow());
     if (remaining <= 0) {  // no time is left for a response
       finishWithFailure(ExchangeStatus::not_written);
       return;
     }
-    if (is_reused_ && !hasNothingToRead()) {
-      finishAsStale();
-      return;
-    }
     if (!remaining_time_field_.empty()) {
       request_.set(remaining_time_field_, std::to_string(remaining / kMicrosPerMillisecond));
     }
@@ -229,6 +261,12 @@
   // the moment at which the kernel has accepted the last byte. Otherwise a call that is cancelled or times
   // out between that moment and the completion handler would be reported as one that cannot have run.
   void continueWriting() {
+    // A response comes only after the last byte of its request.
+    const PendingInput input = is_reused_ ? pendingInput() : PendingInput::none;
+    if (input != PendingInput::none) {
+      finishAsStale(input);
+      return;
+    }
     error_code error;
     socket_.non_blocking(true, error);
     while (!error && bytes_written_ < request_bytes_.size()) {
@@ -371,16 +409,76 @@
   // A complete status line with status 200 counts as a delivery, whatever follows it.
   bool statusLineSaysOk() const { return parser_->get().result_int() == kStatusOk; }
 
-  // Whether the socket holds neither bytes nor an end of the connection.
-  bool hasNothingToRead() {
+  // ---- Input without a request
+
+  // What there is to read: nothing, data, or the end of the connection or an error.
+  enum class PendingInput { none, data, end };
+
+  PendingInput pendingInput() {
     error_code error;
     socket_.non_blocking(true, error);
     if (error) {
-      return false;
+      return PendingInput::end;
     }
     char byte = 0;
     socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
+    if (error == asio::error::would_block) {
+      return PendingInput::none;
+    }
+    return error ? PendingInput::end : PendingInput::data;
+  }
+
+  // Waits for input while no request is written, which ends the connection.
+  void watchInput() {
+    const std::uint64_t watch_id = ++watch_id_;
+    is_watching_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(), watch_id](error_code /*cancelled*/) {
+                         if (self->is_watching_ && watch_id == self->watch_id_) {
+                           self->onWatchedInput();
+                         }
+                       });
+  }
+
+  void stopWatchingInput() {
+    if (!is_watching_) {
+      return;
+    }
+    is_watching_ = false;
+    error_code ignored;
+    socket_.cancel(ignored);
+  }
+
+  void onWatchedInput() {
+    const PendingInput input = pendingInput();
+    if (input == PendingInput::none) {
+      watchInput();
+      return;
+    }
+    if (on_response_) {
+      finishAsStale(input);
+      return;
+    }
+    close();
+    const OnIdleEnd on_idle_end = std::exchange(on_idle_end_, nullptr);
+    if (on_idle_end) {
+      on_idle_end({unsolicitedDataGap(input)});
+    }
+  }
+
+  // Acknowledges the response now instead of together with the next request. A peer whose writes are
+  // coalesced (no TCP_NODELAY) holds back what it writes behind the response until then, and it would arrive
+  // right behind that request.
+  void acknowledgeInput() {
+    const int enabled = 1;
+    (void)::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_QUICKACK, &enabled, sizeof enabled);
+  }
+
+  std::optional<Micros> unsolicitedDataGap(PendingInput input) const {
+    if (input != PendingInput::data) {
+      return std::nullopt;
+    }
+    return monotonicNow() - responded_at_;
   }
 
   // ---- The end of an exchange
@@ -398,9 +496,16 @@
   }
 
   void finishWithResponse(bool body_complete) {
-    keep_alive_ = body_complete && parser_->get().keep_alive() && read_buffer_.size() == 0;
     HttpResponse response = responseSoFar();
     response.body_complete = body_complete;
+    if (body_complete && read_buffer_.size() > 0) {
+      response.unsolicited_data_gap = 0;
+    }
+    keep_alive_ = body_complete && parser_->get().keep_alive() && !response.unsolicited_data_gap;
+    if (keep_alive_) {
+      acknowledgeInput();
+    }
+    responded_at_ = monotonicNow();
     finish(response);
   }
 
@@ -410,10 +515,11 @@
     finish(response);
   }
 
-  void finishAsStale() {
+  void finishAsStale(PendingInput input) {
     HttpResponse response;
     response.completion = ExchangeStatus::not_written;
     response.stale_connection = true;
+    response.unsolicited_data_gap = unsolicitedDataGap(input);
     finish(response);
   }
 
@@ -432,6 +538,7 @@
 
   void close() {
     is_open_ = false;
+    is_watching_ = false;
     error_code ignored;
     socket_.close(ignored);
     read_buffer_.clear();
@@ -443,6 +550,12 @@
   const std::string host_;  // for the Host field
   const std::size_t max_body_bytes_;
   bool is_open_ = false;
+  Micros responded_at_ = 0;  // when the last response was complete
+
+  // State of the watch for input while no request is written.
+  std::uint64_t watch_id_ = 0;  // changes when a watch begins
+  bool is_watching_ = false;
+  OnIdleEnd on_idle_end_;
 
   // State of the current exchange, or of the last one if none is in progress.
   std::uint64_t exchange_id_ = 0;  // changes when an exchange begins and when it ends
@@ -473,9 +586,17 @@
   impl_->cancel();
 }
 
-void HttpConnection::exchange(HttpRequest request, Micros connect_timeout, Deadline deadline,
-                              OnResponse on_response, ProgressCallbacks progress) {
-  impl_->start(std::move(request), connect_timeout, deadline, std::move(on_response), std::move(progress));
+void HttpConnection::exchange(HttpRequest request, const Timing& timing, OnResponse on_response,
+                              ProgressCallbacks progress) {
+  impl_->start(std::move(request), timing, std::move(on_response), std::move(progress));
+}
+
+void HttpConnection::watchIdle(OnIdleEnd on_idle_end) {
+  impl_->watchIdle(std::move(on_idle_end));
+}
+
+bool HttpConnection::isIdle() const {
+  return impl_->isIdle();
 }
 
 void HttpConnection::expire() {
--- a/src/network/http_connection.h
+++ b/src/network/http_connection.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/clocks.h"
@@ -29,6 +30,21 @@
     OnResponse on_head;                  // the response head was received, and its body is incomplete
   };
 
+  // The time limits of an exchange.
+  struct Timing {
+    Micros connect_timeout = 0;
+    Deadline deadline;  // no response is read after it
+    // How long an open connection must have been quiet since its last response before a request is written.
+    Micros quiet_time = 0;
+  };
+  // How an idle connection ended.
+  struct IdleEnd {
+    // How long after the last response the peer sent data without a request, in microseconds; empty if it
+    // only closed the connection.
+    std::optional<Micros> unsolicited_data_gap;
+  };
+  using OnIdleEnd = std::function<void(const IdleEnd&)>;
+
   // Does not open the connection yet. `host`: the value of the Host header field. A response body that is
   // longer than `max_body_bytes` is truncated there and reported as incomplete.
   HttpConnection(boost::asio::io_context& io, tcp::endpoint peer, std::string host,
@@ -38,16 +54,22 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
-  // Opens the connection if it is not open, within `connect_timeout`, writes the request and reads the
-  // response until `deadline`. Calls `on_response` once; with invalid_request if HTTP can't
-  // carry the request. Must not be called while another exchange is in progress.
-  void exchange(HttpRequest request, Micros connect_timeout, Deadline deadline, OnResponse on_response,
+  // Opens the connection if it is not open, or waits until an open one has been quiet, writes the request and
+  // reads the response. Calls `on_response` once; with invalid_request if HTTP can't carry the request. Must
+  // not be called while another exchange is in progress.
+  void exchange(HttpRequest request, const Timing& timing, OnResponse on_response,
                 ProgressCallbacks progress = {});
 
   // Ends the exchange as if its deadline had passed now. A response that is already in the socket still
   // counts.
   void expire();
 
+  // Watches the idle connection until the next exchange: closes it when the peer closes it or sends data, and
+  // calls `on_idle_end` then.
+  void watchIdle(OnIdleEnd on_idle_end);
+
+  // Whether the connection is open and idle. The peer may have closed it.
+  bool isIdle() const;
   // Whether the connection is open, idle, and not closed by the peer.
   bool isReusable() const;
   // Whether the kernel has accepted the last byte of the current request.
--- a/src/network/idle_connections.cpp
+++ b/src/network/idle_connections.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
+#include "common/log.h"
+
 namespace delivery {
 
 namespace {
@@ -18,30 +21,70 @@
                                  EndpointConnectionAccounting& accounting)
     : idle_timeout_(idle_timeout), accounting_(accounting), sweep_timer_(io) {}
 
-std::unique_ptr<HttpConnection> IdleConnections::take(const std::string& endpoint) {
+std::unique_ptr<HttpConnection> IdleConnections::take(const std::string& endpoint, Deadline deadline) {
   std::deque<IdleConnection>& idle = connections_[endpoint];
-  while (!idle.empty()) {
-    std::unique_ptr<HttpConnection> connection = std::move(idle.back().connection);
-    idle.pop_back();
-    if (connection->isReusable()) {
-      accounting_.onReused(endpoint);
-      return connection;
-    }
-    accounting_.onIdleClosed(endpoint);
+  if (idle.empty()) {
+    return nullptr;
+  }
+  const Micros now = monotonicNow();
+  const Micros quiet_since = now - quietTime(endpoint);
+  const auto first_not_quiet = std::partition_point(
+      idle.begin(), idle.end(), [&](const IdleConnection& entry) { return entry.idle_since <= quiet_since; });
+  const bool any_is_quiet = first_not_quiet != idle.begin();
+  const auto selected = any_is_quiet ? std::prev(first_not_quiet) : idle.begin();
+  if (!any_is_quiet && deadline.remaining(now) <= selected->idle_since - quiet_since) {
+    return nullptr;
   }
-  return nullptr;
+  std::unique_ptr<HttpConnection> connection = std::move(selected->connection);
+  idle.erase(selected);
+  accounting_.onReused(endpoint);
+  return connection;
 }
 
 bool IdleConnections::keep(const std::string& endpoint, std::unique_ptr<HttpConnection>& connection) {
-  if (!connection->isReusable() || !makeRoomFor(endpoint)) {
+  if (!connection->isIdle() || !makeRoomFor(endpoint)) {
     return false;
   }
   accounting_.onIdle(endpoint);
+  const HttpConnection* const key = connection.get();
+  connection->watchIdle(
+      [this, endpoint, key](const HttpConnection::IdleEnd& end) { onIdleEnd(endpoint, key, end); });
   connections_[endpoint].push_back({std::move(connection), monotonicNow()});
   scheduleSweep();
   return true;
 }
 
+void IdleConnections::onIdleEnd(const std::string& endpoint, const HttpConnection* connection,
+                                const HttpConnection::IdleEnd& end) {
+  if (end.unsolicited_data_gap) {
+    onUnsolicitedData(endpoint, *end.unsolicited_data_gap);
+  }
+  std::deque<IdleConnection>& idle = connections_.at(endpoint);
+  const auto entry = std::find_if(idle.begin(), idle.end(), [&](const IdleConnection& candidate) {
+    return candidate.connection.get() == connection;
+  });
+  if (entry != idle.end()) {
+    idle.erase(entry);
+    accounting_.onIdleClosed(endpoint);
+  }
+}
+
+Micros IdleConnections::quietTime(const std::string& endpoint) const {
+  return quiet_times_.quietTime(endpoint, monotonicNow());
+}
+
+void IdleConnections::onUnsolicitedData(const std::string& endpoint, Micros gap) {
+  const std::int64_t count = quiet_times_.onUnsolicitedData(endpoint, gap, monotonicNow());
+  // An endpoint may do this with each response, so ever fewer of them are logged.
+  const bool is_power_of_two = (count & (count - 1)) == 0;
+  if (is_power_of_two) {
+    logWarning("endpoints", "unsolicited_data")
+        .field("endpoint", endpoint)
+        .field("gap_us", gap)
+        .field("count", count);
+  }
+}
+
 // Returns false if there is no room for one more connection.
 bool IdleConnections::makeRoomFor(const std::string& endpoint) {
   if (accounting_.canKeepIdle()) {
--- a/src/protocol/http_message.h
+++ b/src/protocol/http_message.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "common/clocks.h"
+
 namespace delivery {
 
 // The length up to which Beast can store the value of a header field, in bytes.
@@ -38,9 +41,12 @@
   ExchangeStatus completion = ExchangeStatus::not_written;
   int status = 0;
   bool body_complete = false;
-  // Set together with not_written: the peer had closed the reused connection or had sent bytes without a
-  // request. No byte of the request was written, so the request can be sent on a new connection.
+  // Set together with not_written: the peer had closed the reused connection or had sent data without a
+  // request. The request was not written as a whole, so it can be sent on a new connection.
   bool stale_connection = false;
+  // Set if the peer sent data that belongs to no request, behind this response or before the request was
+  // written: how long after the last response it was found, in microseconds. The response itself is good.
+  std::optional<Micros> unsolicited_data_gap;
   std::string body;
   HttpFields fields;  // names in lower case
 
--- a/tests/network/http_connection_test.cpp
+++ b/tests/network/http_connection_test.cpp
@@ -40,7 +40,7 @@
   request.target = "/hook";
   std::optional<HttpResponse> response;
   const Deadline deadline = deadlineIn(3'000'000);
-  connection.exchange(std::move(request), 3'000'000, deadline,
+  connection.exchange(std::move(request), {3'000'000, deadline},
                       [&](const HttpResponse& received) { response = received; });
   const int fd = ::accept4(listener.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   char piece[4096];
@@ -78,7 +78,7 @@
   std::optional<HttpResponse> response;
   const Micros connect_timeout = 20'000;
   const Micros started_at = monotonicNow();
-  connection.exchange(std::move(request), connect_timeout, deadlineIn(60'000'000),
+  connection.exchange(std::move(request), {connect_timeout, deadlineIn(60'000'000)},
                       [&](const HttpResponse& received) { response = received; });
   while (monotonicNow() - started_at <= connect_timeout + 1000) {
   }  // The process is busy: the event loop does not run.
@@ -97,7 +97,7 @@
   request.method = "POST";
   request.target = "/hook";
   std::optional<HttpResponse> response;
-  connection.exchange(std::move(request), 60'000'000, deadlineIn(60'000'000),
+  connection.exchange(std::move(request), {60'000'000, deadlineIn(60'000'000)},
                       [&](const HttpResponse& received) { response = received; });
   while (!response) {
     io.run_one_for(std::chrono::milliseconds(100));
--- a/tests/support/http_server.h
+++ b/tests/support/http_server.h
@@ -43,6 +43,8 @@
   std::string bytes;
   bool close = false;
   bool reset = false;
+  // Called with the connection's descriptor once `bytes` are sent, on the thread of the connection.
+  std::function<void(int)> after_response = {};
 };
 
 // An HTTP response. `fields`: further header fields, each with its line end.
@@ -154,6 +156,9 @@
     if (!action.bytes.empty()) {
       (void)!::send(fd, action.bytes.data(), action.bytes.size(), MSG_NOSIGNAL);
     }
+    if (action.after_response) {
+      action.after_response(fd);
+    }
     if (action.reset) {
       const linger reset_on_close{1, 0};
       ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof reset_on_close);
