Bound what lists of discovery and idle connections take of the memory

Cause: a list might have 8 MB whatever memory_mb says, and its parsed value takes many times that. Idle connections kept the request, the answer and the buffer of their last exchange, and bodies of endpoints' answers, which mean nothing, were stored. Change: DescriptorBudget limits a list by the memory, in bytes and in JSON values, which are counted before it is parsed. Bodies of endpoints' answers are read and not kept (ResponseBody), a finished exchange frees its buffers, and the bytes held are counted. How the test plays a peer is shared (TestConnection).

--- a/src/network/descriptor_budget.cpp
+++ b/src/network/descriptor_budget.cpp
@@ -21,6 +21,10 @@
 constexpr std::int64_t kIdleConnectionsDivisor = 4;  // a quarter of the shared capacity
 constexpr std::int64_t kOpenRequestsDivisor = 3;     // a third of all descriptors
 constexpr std::int64_t kPooledMemoryDivisor = 8;     // an eighth of the memory
+// Reading a list takes several times its size, and some hundred bytes for each value while it is replaced.
+constexpr std::int64_t kEndpointListMemoryDivisor = 16;
+constexpr std::int64_t kMemoryPerEndpointListValue = 512;
+constexpr std::int64_t kMaxEndpointListBytes = 8 << 20;
 constexpr std::int64_t kBytesPerMegabyte = 1'000'000;
 
 std::int64_t megabytesRoundedUp(std::int64_t bytes) {
@@ -60,6 +64,10 @@
   const std::int64_t capacity = sharedCapacity(limits);
   DescriptorBudget budget;
   budget.max_pooled_bytes = bufferPoolBytes(limits);
+  budget.max_endpoint_list_bytes = static_cast<std::size_t>(
+      std::min(kMaxEndpointListBytes, limits.memory_bytes / kEndpointListMemoryDivisor));
+  budget.max_endpoint_list_values =
+      static_cast<std::size_t>(limits.memory_bytes / kMemoryPerEndpointListValue);
   // Idle connections have a share of their own, which clients can't use up, however many connect.
   budget.max_idle_connections = capacity / kIdleConnectionsDivisor;
   budget.max_endpoint_connections = limits.call_slots + budget.max_idle_connections;
--- a/src/network/descriptor_budget.h
+++ b/src/network/descriptor_budget.h
@@ -26,6 +26,9 @@
   std::int64_t max_handshakes_per_endpoint = 0;  // connections being opened to one endpoint
   // Bytes of buffered requests, without the first kUnpooledBytes of each connection.
   std::size_t max_pooled_bytes = 0;
+  // Of one answer of discovery: its bytes, and the JSON values in it.
+  std::size_t max_endpoint_list_bytes = 0;
+  std::size_t max_endpoint_list_values = 0;
 };
 
 // `shares_with_predecessor`: after a handover, the predecessor still completes its calls and holds
--- a/src/network/discovery_client.cpp
+++ b/src/network/discovery_client.cpp
@@ -13,12 +13,16 @@
 namespace {
 
 constexpr Micros kConnectTimeout = 1'000'000;  // ample, as the server is on this machine
-constexpr std::size_t kMaxResponseBodyBytes = 8u << 20;
 
 }  // namespace
 
-DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint server, std::string host)
-    : io_(io), server_(std::move(server)), host_(std::move(host)), backoff_timer_(io) {}
+DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint server, std::string host,
+                                 std::size_t max_body_bytes)
+    : io_(io),
+      server_(std::move(server)),
+      host_(std::move(host)),
+      max_body_bytes_(max_body_bytes),
+      backoff_timer_(io) {}
 
 void DiscoveryClient::send(HttpRequest request, Micros timeout, HttpConnection::OnResponse on_response) {
   if (is_stopped_) {
@@ -31,7 +35,8 @@
 void DiscoveryClient::exchange(HttpRequest request, Deadline deadline,
                                HttpConnection::OnResponse on_response) {
   if (!connection_ || !connection_->isIdle()) {
-    connection_ = std::make_unique<HttpConnection>(io_, server_, host_, kMaxResponseBodyBytes);
+    const HttpConnection::BodyLimits limits{max_body_bytes_, BodyUse::keep};
+    connection_ = std::make_unique<HttpConnection>(io_, server_, host_, limits);
   }
   HttpConnection::Timing timing;
   timing.connect_timeout = kConnectTimeout;
--- a/src/network/discovery_client.h
+++ b/src/network/discovery_client.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,8 +18,9 @@
 // callback is never called.
 class DiscoveryClient {
  public:
-  // `host`: the value of the Host header field.
-  DiscoveryClient(boost::asio::io_context& io, tcp::endpoint server, std::string host);
+  // `host`: the value of the Host header field. The body of a response has at most `max_body_bytes`.
+  DiscoveryClient(boost::asio::io_context& io, tcp::endpoint server, std::string host,
+                  std::size_t max_body_bytes);
 
   // Calls `on_response` once from the event loop, at the latest after `timeout`.
   void send(HttpRequest request, Micros timeout, HttpConnection::OnResponse on_response);
@@ -35,6 +37,7 @@
   boost::asio::io_context& io_;
   tcp::endpoint server_;
   std::string host_;
+  std::size_t max_body_bytes_;
   std::unique_ptr<HttpConnection> connection_;
   boost::asio::steady_timer backoff_timer_;
   std::int64_t unsolicited_data_count_ = 0;
--- a/src/network/endpoint_pool.cpp
+++ b/src/network/endpoint_pool.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxBodyBytes = 65536;
+// Only the head of a response has a meaning (PROTOCOL, "Senders to endpoints").
+constexpr HttpConnection::BodyLimits kBodyLimits{65536, BodyUse::discard};
 
 // Whether the connection may be kept after a call. The decision module counts idle connections itself, and
 // assumes that the connection is kept after these results.
@@ -115,7 +116,7 @@
 bool EndpointPool::createConnection(Call& call) {
   try {
     call.connection =
-        std::make_unique<HttpConnection>(io_, parseAddress(call.address), call.address, kMaxBodyBytes);
+        std::make_unique<HttpConnection>(io_, parseAddress(call.address), call.address, kBodyLimits);
   } catch (const std::invalid_argument&) {
     return false;
   }
--- a/src/network/endpoint_watch.cpp
+++ b/src/network/endpoint_watch.cpp
@@ -32,8 +32,12 @@
 
 }  // namespace
 
-EndpointWatch::EndpointWatch(DiscoveryClient client, std::uint64_t seed, OnEndpointList on_endpoint_list)
-    : client_(std::move(client)), on_endpoint_list_(std::move(on_endpoint_list)), random_(seed) {}
+EndpointWatch::EndpointWatch(DiscoveryClient client, std::uint64_t seed, std::size_t max_list_values,
+                             OnEndpointList on_endpoint_list)
+    : client_(std::move(client)),
+      on_endpoint_list_(std::move(on_endpoint_list)),
+      random_(seed),
+      max_list_values_(max_list_values) {}
 
 void EndpointWatch::changeServer(tcp::endpoint server, std::string host) {
   client_.changeServer(std::move(server), std::move(host));
@@ -65,7 +69,7 @@
     return;
   }
   try {
-    known_index_ = on_endpoint_list_(parseJson(response.body));
+    known_index_ = on_endpoint_list_(parseJson(response.body, max_list_values_));
   } catch (const std::exception& error) {
     // An unreadable response must not end the watch.
     logWarning("discovery", "unreadable_endpoint_list").field("error", error.what());
--- a/src/network/endpoint_watch.h
+++ b/src/network/endpoint_watch.h
@@ -2,6 +2,7 @@
 // known list, and the server responds once it has a newer list.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -20,8 +21,10 @@
   // the list is unreadable; the full list is then requested.
   using OnEndpointList = std::function<std::int64_t(const json& list)>;
 
-  // `seed`: for the random jitter of the backoff.
-  EndpointWatch(DiscoveryClient client, std::uint64_t seed, OnEndpointList on_endpoint_list);
+  // `seed`: for the random jitter of the backoff. A list of more than `max_list_values` JSON values is
+  // unreadable.
+  EndpointWatch(DiscoveryClient client, std::uint64_t seed, std::size_t max_list_values,
+                OnEndpointList on_endpoint_list);
 
   // `known_index`: the index of the list that is already known. EndpointList::kNoIndex requests the full list
   // at once.
@@ -38,6 +41,7 @@
   DiscoveryClient client_;
   OnEndpointList on_endpoint_list_;
   std::mt19937_64 random_;
+  std::size_t max_list_values_;
   std::int64_t known_index_ = EndpointList::kNoIndex;
   int consecutive_failures_ = 0;
 };
--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -87,12 +87,8 @@
   }
 
  public:
-  Impl(asio::io_context& io, tcp::endpoint peer, std::string host, std::size_t max_body_bytes)
-      : socket_(io),
-        timer_(io),
-        peer_(std::move(peer)),
-        host_(std::move(host)),
-        max_body_bytes_(max_body_bytes) {}
+  Impl(asio::io_context& io, tcp::endpoint peer, std::string host, BodyLimits body_limits)
+      : socket_(io), timer_(io), peer_(std::move(peer)), host_(std::move(host)), body_limits_(body_limits) {}
 
   void start(HttpRequest request, const Timing& timing, OnResponse on_response, ProgressCallbacks progress) {
     beginExchange(timing.deadline, std::move(on_response), std::move(progress));
@@ -135,6 +131,12 @@
 
   bool requestWritten() const { return request_written_; }
 
+  std::size_t bufferedBytes() const {
+    const std::size_t request_bytes = request_ ? request_->body().size() : request_bytes_.size();
+    const std::size_t response_bytes = parser_ ? parser_->get().body().text.size() : 0;
+    return request_bytes + read_buffer_.capacity() + response_bytes;
+  }
+
  private:
   void beginExchange(Deadline deadline, OnResponse on_response, ProgressCallbacks progress) {
     ++exchange_id_;
@@ -168,7 +170,8 @@
   void expectResponse() {
     parser_.emplace();
     parser_->get().result(0u);  // no status is known yet; Beast's default is 200
-    parser_->body_limit(max_body_bytes_);
+    parser_->get().body().use = body_limits_.use;
+    parser_->body_limit(body_limits_.max_bytes);
     parser_->header_limit(kMaxHeadBytes);
   }
 
@@ -250,9 +253,10 @@
       return;
     }
     if (!remaining_time_field_.empty()) {
-      request_.set(remaining_time_field_, std::to_string(remaining / kMicrosPerMillisecond));
+      request_->set(remaining_time_field_, std::to_string(remaining / kMicrosPerMillisecond));
     }
-    request_bytes_ = serialize(request_);
+    request_bytes_ = serialize(*request_);
+    request_.reset();
     bytes_written_ = 0;
     continueWriting();
   }
@@ -370,7 +374,7 @@
   // False if the response is complete, or longer than any that has a meaning. The parser is not eager, so
   // that each read ends after one chunk at most.
   bool needsMoreBody() const {
-    return !parser_->is_done() && transferred_bytes_ / kMaxTransferredPerBodyByte <= max_body_bytes_;
+    return !parser_->is_done() && transferred_bytes_ / kMaxTransferredPerBodyByte <= body_limits_.max_bytes;
   }
 
   // Used after the time limit: reads what is in the socket without waiting, and ends the exchange.
@@ -488,7 +492,7 @@
     HttpResponse response;
     response.completion = ExchangeStatus::answered;
     response.status = static_cast<int>(message.result_int());
-    response.body = message.body();
+    response.body = message.body().text;
     for (const auto& field : message) {
       response.fields.emplace_back(toLowerCase(std::string(field.name_string())), std::string(field.value()));
     }
@@ -529,6 +533,7 @@
     if (!keep_alive_) {
       close();
     }
+    freeBuffers();
     progress_ = {};
     const OnResponse on_response = std::exchange(on_response_, nullptr);
     if (on_response) {
@@ -536,6 +541,15 @@
     }
   }
 
+  // An idle connection holds nothing of its last exchange, as there may be many.
+  void freeBuffers() {
+    request_.reset();
+    std::string().swap(request_bytes_);
+    parser_.reset();
+    read_buffer_.clear();
+    read_buffer_.shrink_to_fit();
+  }
+
   void close() {
     is_open_ = false;
     is_watching_ = false;
@@ -548,7 +562,7 @@
   asio::steady_timer timer_;
   const tcp::endpoint peer_;
   const std::string host_;  // for the Host field
-  const std::size_t max_body_bytes_;
+  const BodyLimits body_limits_;
   bool is_open_ = false;
   Micros responded_at_ = 0;  // when the last response was complete
 
@@ -562,11 +576,11 @@
   std::uint64_t timer_id_ = 0;     // changes when the timer is set
   Deadline deadline_;
   std::string remaining_time_field_;
-  http::request<http::string_body> request_;
+  std::optional<http::request<http::string_body>> request_;  // empty once it is serialized
   std::string request_bytes_;
   std::size_t bytes_written_ = 0;  // how many of request_bytes_ the kernel has accepted
   boost::beast::flat_buffer read_buffer_{kMaxReadBufferBytes};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<ResponseBody>> parser_;
   OnResponse on_response_;
   ProgressCallbacks progress_;
   int informational_heads_ = 0;
@@ -579,8 +593,8 @@
 };
 
 HttpConnection::HttpConnection(asio::io_context& io, tcp::endpoint peer, std::string host,
-                               std::size_t max_body_bytes)
-    : impl_(std::make_shared<Impl>(io, std::move(peer), std::move(host), max_body_bytes)) {}
+                               BodyLimits body_limits)
+    : impl_(std::make_shared<Impl>(io, std::move(peer), std::move(host), body_limits)) {}
 
 HttpConnection::~HttpConnection() {
   impl_->cancel();
@@ -611,4 +625,8 @@
   return impl_->requestWritten();
 }
 
+std::size_t HttpConnection::bufferedBytes() const {
+  return impl_->bufferedBytes();
+}
+
 }  // namespace delivery
--- a/src/network/http_connection.h
+++ b/src/network/http_connection.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "common/clocks.h"
+#include "network/response_body.h"
 #include "protocol/http_message.h"
 
 namespace delivery {
@@ -45,10 +46,14 @@
   };
   using OnIdleEnd = std::function<void(const IdleEnd&)>;
 
-  // Does not open the connection yet. `host`: the value of the Host header field. A response body that is
-  // longer than `max_body_bytes` is truncated there and reported as incomplete.
-  HttpConnection(boost::asio::io_context& io, tcp::endpoint peer, std::string host,
-                 std::size_t max_body_bytes);
+  // The limits on the body of a response.
+  struct BodyLimits {
+    std::size_t max_bytes = 0;  // a longer body is truncated there and reported as incomplete
+    BodyUse use = BodyUse::keep;
+  };
+
+  // Does not open the connection yet. `host`: the value of the Host header field.
+  HttpConnection(boost::asio::io_context& io, tcp::endpoint peer, std::string host, BodyLimits body_limits);
   // Closes the connection. Callbacks of an exchange in progress are not called any more.
   ~HttpConnection();
   HttpConnection(const HttpConnection&) = delete;
@@ -74,6 +79,8 @@
   bool isReusable() const;
   // Whether the kernel has accepted the last byte of the current request.
   bool requestWritten() const;
+  // The bytes of memory that are held for the request, the response and input that is not parsed yet.
+  std::size_t bufferedBytes() const;
 
  private:
   class Impl;
--- a/src/process/active_role.cpp
+++ b/src/process/active_role.cpp
@@ -25,8 +25,10 @@
   return listenAt(io, parseAddress(configuration.listen));
 }
 
-DiscoveryClient createDiscoveryClient(asio::io_context& io, const Configuration& configuration) {
-  return DiscoveryClient(io, parseAddress(configuration.discovery), configuration.discovery);
+DiscoveryClient createDiscoveryClient(asio::io_context& io, const Configuration& configuration,
+                                      const ClientAdmission& admission) {
+  return DiscoveryClient(io, parseAddress(configuration.discovery), configuration.discovery,
+                         admission.budget().max_endpoint_list_bytes);
 }
 
 }  // namespace
@@ -35,11 +37,12 @@
                        ClientAdmission& admission, const RecoveryOptions& recovery, Callbacks callbacks)
     : recovery_started_at_(monotonicNow()),
       journal_(configuration.state_folder, {configuration.disk_bytes, configuration.durable}),
-      notifier_(createDiscoveryClient(io, configuration),
+      notifier_(createDiscoveryClient(io, configuration, admission),
                 [this](const std::string& message_id) { driver_.onNoticeAcknowledged(message_id); }),
       driver_(io, configuration.settings, configuration.seed, journal_, endpoints, notifier_,
               std::move(callbacks.cancel_in_other_process)),
-      endpoint_watch_(createDiscoveryClient(io, configuration), configuration.seed,
+      endpoint_watch_(createDiscoveryClient(io, configuration, admission), configuration.seed,
+                      admission.budget().max_endpoint_list_values,
                       [this](const json& answer) { return driver_.onEndpointList(answer); }),
       clients_(io, listenForClients(io, configuration), admission,
                [this](SubmittedMessage message, ClientServer::ReplyCallback reply) {
--- a/src/protocol/json_fields.h
+++ b/src/protocol/json_fields.h
@@ -3,7 +3,9 @@
 // linking the sender's library.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -47,8 +49,15 @@
 // space for each level.
 constexpr std::size_t kMaxJsonDepth = 64;
 
-// Whether a text opens more than kMaxJsonDepth arrays and objects at once. The text need not be valid JSON.
-inline bool isNestedTooDeeply(std::string_view text) {
+// The size of a JSON text, which says how much memory its value takes. Each of them is at most the given one.
+struct JsonSize {
+  std::size_t depth = 0;   // how many arrays and objects are open at once
+  std::size_t values = 1;  // numbers, strings, arrays and so on
+};
+
+// Measures a text without parsing it. The text need not be valid JSON.
+inline JsonSize measureJson(std::string_view text) {
+  JsonSize size;
   std::size_t depth = 0;
   bool in_string = false;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -58,21 +67,29 @@
     } else if (in_string) {
       i += c == '\\' ? 1 : 0;  // the escaped character may be a quotation mark
     } else if (c == '[' || c == '{') {
-      if (++depth > kMaxJsonDepth) {
-        return true;
-      }
+      size.depth = std::max(size.depth, ++depth);
+      ++size.values;
+    } else if (c == ',') {
+      ++size.values;
     } else if ((c == ']' || c == '}') && depth > 0) {
       --depth;
     }
   }
-  return false;
+  return size;
 }
 
-// Parses a JSON text. Throws InvalidInput if it is malformed or nested too deeply.
-inline json parseJson(std::string_view text) {
-  if (isNestedTooDeeply(text)) {
+constexpr std::size_t kUnlimitedJsonValues = SIZE_MAX;
+
+// Parses a JSON text. Throws InvalidInput if it is malformed, nested too deeply or has more values than
+// `max_values`.
+inline json parseJson(std::string_view text, std::size_t max_values = kUnlimitedJsonValues) {
+  const JsonSize size = measureJson(text);
+  if (size.depth > kMaxJsonDepth) {
     throw InvalidInput(InputProblem::malformed, "", "JSON is nested too deeply");
   }
+  if (size.values > max_values) {
+    throw InvalidInput(InputProblem::out_of_range, "", "JSON has too many values");
+  }
   json value = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (value.is_discarded()) {
     throw InvalidInput(InputProblem::malformed, "", "not JSON");
--- a/tests/network/descriptor_budget_test.cpp
+++ b/tests/network/descriptor_budget_test.cpp
@@ -24,6 +24,16 @@
             256 - 28);  // the predecessor has 28 of its own and up to 30 calls
 }
 
+// Guards against a list of discovery that takes more memory than the process has. With the least memory, a
+// list of 3,200 endpoints can be read: each has some 200 bytes and nine values.
+TEST(DescriptorBudget, LimitsAListByTheMemory) {
+  const DescriptorBudget small = computeDescriptorBudget({256, 32 * kMegabyte, 30}, false);
+  EXPECT_EQ(2'000'000u, small.max_endpoint_list_bytes);
+  EXPECT_EQ(62'500u, small.max_endpoint_list_values);
+  EXPECT_GE(small.max_endpoint_list_values, 3200u * 9);
+  EXPECT_EQ(8u << 20, computeDescriptorBudget({256, 192 * kMegabyte, 30}, false).max_endpoint_list_bytes);
+}
+
 TEST(DescriptorBudget, NamesTheSettingThatDoesNotCoverTheReserves) {
   const auto error_of = [](const ProcessLimits& limits) {
     try {
--- a/tests/network/http_connection_test.cpp
+++ b/tests/network/http_connection_test.cpp
@@ -15,6 +15,7 @@
 #include "network/socket_address.h"
 #include "support/http_server.h"
 #include "support/listener.h"
+#include "support/test_connection.h"
 
 namespace delivery {
 namespace {
@@ -34,7 +35,7 @@
 TEST(HttpConnection, AResponseInTheSocketAtTheDeadlineCounts) {
   boost::asio::io_context io;
   loopback::Listener listener;
-  HttpConnection connection(io, parseAddress(listener.address()), "e", 65536);
+  HttpConnection connection(io, parseAddress(listener.address()), "e", {65536});
   HttpRequest request;
   request.method = "POST";
   request.target = "/hook";
@@ -71,7 +72,7 @@
 TEST(HttpConnection, AConnectionEstablishedAtItsTimeoutIsUsed) {
   HttpServer server([](const ReceivedRequest&) { return ServerAction{httpResponse("200 OK")}; });
   boost::asio::io_context io;
-  HttpConnection connection(io, parseAddress(server.address()), "e", 65536);
+  HttpConnection connection(io, parseAddress(server.address()), "e", {65536});
   HttpRequest request;
   request.method = "POST";
   request.target = "/hook";
@@ -93,7 +94,7 @@
 HttpResponse exchangeWith(const std::string& answer, HttpRequest request = {}) {
   HttpServer server([&](const ReceivedRequest&) { return ServerAction{answer, true}; });
   boost::asio::io_context io;
-  HttpConnection connection(io, parseAddress(server.address()), "e", 65536);
+  HttpConnection connection(io, parseAddress(server.address()), "e", {65536});
   request.method = "POST";
   request.target = "/hook";
   std::optional<HttpResponse> response;
@@ -150,5 +151,23 @@
   }
 }
 
+// Guards against idle connections that hold the bodies of their last exchange: with many of them, the process
+// would need more than its share of memory.
+TEST(HttpConnection, AnIdleConnectionHoldsNoBytesOfItsLastExchange) {
+  for (const BodyUse use : {BodyUse::keep, BodyUse::discard}) {
+    loopback::TestConnection test(use);
+    const std::string body(60'000, 'b');
+    test.startExchange(0, body);
+    test.receiveAtPeer();
+    test.runUntil([&] { return !test.discardAtPeer(); });
+    test.sendFromPeer(loopback::httpResponse("200 OK", "", body));
+    const HttpResponse response = test.awaitResponse();
+    EXPECT_TRUE(response.body_complete);
+    EXPECT_EQ(use == BodyUse::keep ? body : "", response.body);
+    EXPECT_TRUE(test.connection.isIdle());
+    EXPECT_EQ(0u, test.connection.bufferedBytes());
+  }
+}
+
 }  // namespace
 }  // namespace delivery
--- a/tests/network/unsolicited_data_test.cpp
+++ b/tests/network/unsolicited_data_test.cpp
@@ -13,12 +13,14 @@
 #include "network/socket_address.h"
 #include "support/loopback.h"
 #include "support/surplus_endpoint.h"
+#include "support/test_connection.h"
 
 namespace delivery {
 namespace {
 
 using loopback::httpResponse;
 using loopback::ReceivedRequest;
+using loopback::TestConnection;
 
 constexpr Micros kHour = 3'600'000'000;
 const char* const kNoise = "\x01 noise, and no response";
@@ -27,63 +29,6 @@
   return Deadline::after(monotonicNow(), kHour);
 }
 
-// A connection whose peer is played by the test itself, in one thread, so that the order of events is fixed.
-struct TestConnection {
-  TestConnection() : connection(io, parseAddress(listener.address()), "e", 65536) {}
-  ~TestConnection() { ::close(peer); }
-  TestConnection(const TestConnection&) = delete;
-  TestConnection& operator=(const TestConnection&) = delete;
-
-  void startExchange(Micros quiet_time, const std::string& body = "") {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/hook";
-    request.body = body;
-    response.reset();
-    connection.exchange(std::move(request), {kHour, inOneHour(), quiet_time},
-                        [this](const HttpResponse& received) { response = received; });
-  }
-  // Waits until the peer has received something, and discards it.
-  void receiveAtPeer() {
-    if (peer < 0) {
-      peer = ::accept4(listener.fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    }
-    runUntil([this] { return discardAtPeer(); });
-  }
-  // Returns false if the peer has received nothing.
-  bool discardAtPeer() const {
-    char piece[4096];
-    return ::recv(peer, piece, sizeof piece, 0) > 0;
-  }
-  void sendFromPeer(const std::string& bytes) const {
-    EXPECT_EQ(static_cast<ssize_t>(bytes.size()), ::send(peer, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-  }
-  HttpResponse awaitResponse() {
-    runUntil([this] { return response.has_value(); });
-    return response.value_or(HttpResponse{});
-  }
-  void runUntil(const std::function<bool()>& condition) {
-    EXPECT_TRUE(loopback::eventually([&] {
-      io.restart();
-      io.poll();
-      return condition();
-    }));
-  }
-  // Makes a first exchange, after which the connection is open and idle.
-  void makeFirstExchange() {
-    startExchange(0);
-    receiveAtPeer();
-    sendFromPeer(httpResponse("200 OK"));
-    EXPECT_EQ(200, awaitResponse().status);
-  }
-
-  boost::asio::io_context io;
-  loopback::Listener listener;
-  HttpConnection connection;
-  std::optional<HttpResponse> response;
-  int peer = -1;
-};
-
 // Guards against a late second copy of a response that passes for the response to the next request: a request
 // is not written while such data may still come, and the data ends the connection.
 TEST(UnsolicitedData, EndsTheConnectionBeforeTheNextRequestIsWritten) {
@@ -200,7 +145,7 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/notices";
-  DiscoveryClient client(io, parseAddress(listener.address()), "discovery");
+  DiscoveryClient client(io, parseAddress(listener.address()), "discovery", 65536);
   std::vector<int> statuses;
   int first_peer = -1;
   client.send(request, kHour, [&](const HttpResponse& first) {
--- a/tests/protocol/json_fields_test.cpp
+++ b/tests/protocol/json_fields_test.cpp
@@ -68,5 +68,14 @@
   EXPECT_TRUE(readOptionalObject(object, "null").empty());
 }
 
+// Guards against a text that is small and takes much memory: the number of its values is limited before it is
+// parsed. What looks like a value within a string is none.
+TEST(JsonFields, ATextWithTooManyValuesIsRejected) {
+  EXPECT_EQ(3u, parseJson("[1,2,3]", 4).size());
+  EXPECT_THROW(parseJson("[1,2,3]", 3), InvalidInput);
+  EXPECT_THROW(parseJson(R"({"a":{"b":[]}})", 3), InvalidInput);
+  EXPECT_EQ(R"(,[",{)", parseJson(R"([",[\",{"])", 2)[0].get<std::string>());
+}
+
 }  // namespace
 }  // namespace delivery
