Count a status line of 200 that arrives in pieces, and close behind heads of 1xx

Cause: Beast parses a status line that ends in a later read only with the whole head; a call that was cut there counted as a reset. A 17th head of 1xx and one of 101 counted as complete answers and left their connections open. Change: if the status is unknown, a complete status line in the input counts; a head of 1xx is never a complete answer.

--- a/src/network/http_connection.cpp
+++ b/src/network/http_connection.cpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 #include "common/log.h"
@@ -341,8 +342,7 @@
   // Skips a head with status 1xx: the response is still to come. Returns false if the head is not
   // informational, or if there were too many, as a peer may send nothing else.
   bool skipInformationalHead() {
-    const unsigned status = parser_->get().result_int();
-    if (status < 100 || status > 199 || status == kStatusSwitchingProtocols) {
+    if (!isInformational() || status() == kStatusSwitchingProtocols) {
       return false;
     }
     ++informational_heads_;
@@ -353,6 +353,8 @@
     return true;
   }
 
+  bool isInformational() const { return status() >= 100 && status() <= 199; }
+
   void readBody() {
     if (!needsMoreBody()) {
       finishWithResponse(parser_->is_done());
@@ -411,7 +413,21 @@
   }
 
   // A complete status line with status 200 counts as a delivery, whatever follows it.
-  bool statusLineSaysOk() const { return parser_->get().result_int() == kStatusOk; }
+  bool statusLineSaysOk() const { return status() == kStatusOk; }
+
+  // The status of the response; 0 if it is not known. Beast parses the status line of a response that arrives
+  // in pieces only together with the rest of the head.
+  unsigned status() const {
+    const unsigned parsed = parser_->get().result_int();
+    return parsed == 0 && bufferedStatusLineSaysOk() ? kStatusOk : parsed;
+  }
+
+  bool bufferedStatusLineSaysOk() const {
+    const std::string_view input(static_cast<const char*>(read_buffer_.data().data()), read_buffer_.size());
+    const std::string_view line = input.substr(0, input.find("\r\n"));
+    const bool is_complete = line.size() < input.size();
+    return is_complete && (line.rfind("HTTP/1.1 200 ", 0) == 0 || line.rfind("HTTP/1.0 200 ", 0) == 0);
+  }
 
   // ---- Input without a request
 
@@ -491,7 +507,7 @@
     const auto& message = parser_->get();
     HttpResponse response;
     response.completion = ExchangeStatus::answered;
-    response.status = static_cast<int>(message.result_int());
+    response.status = static_cast<int>(status());
     response.body = message.body().text;
     for (const auto& field : message) {
       response.fields.emplace_back(toLowerCase(std::string(field.name_string())), std::string(field.value()));
@@ -499,7 +515,9 @@
     return response;
   }
 
-  void finishWithResponse(bool body_complete) {
+  // A head with status 1xx is no response, and the connection can't be reused behind it.
+  void finishWithResponse(bool read_completely) {
+    const bool body_complete = read_completely && !isInformational();
     HttpResponse response = responseSoFar();
     response.body_complete = body_complete;
     if (body_complete && read_buffer_.size() > 0) {
