Send pipelining clients away in a drain, and answer all that was read

A client that always has more commands under way kept its connection after DRAIN and SIGTERM, and the process ended with commands that it had read and not answered. Cause: a draining connection was closed only when no further input was there, and neither the exit nor a handover waited for commands that were read ahead (ClientAdmission, ClientServer, SenderProcess). Change: a drain reads for 1 s (a handover for 0.1 s); what was read by then and not submitted is rejected as busy, the sending side is shut down, input is discarded until the client closes, for 1 s at most. Exit and handover wait for both.

--- a/src/network/client_admission.cpp
+++ b/src/network/client_admission.cpp
@@ -169,6 +169,23 @@
   return is_draining_ && !has_more_input ? AfterReply::close : AfterReply::keep_open;
 }
 
+// The first request of a connection is always read: the connection may be newer than the drain.
+bool ClientAdmission::mayReadNextRequest(ConnectionId id, Micros now) const {
+  return !is_draining_ || now < reading_ends_at_ || clients_.connections.at(id).replies == 0;
+}
+
+void ClientAdmission::onReadingEnded(ConnectionId id, Micros now) {
+  ClientConnection& connection = clients_.connections.at(id);
+  setBufferedBytes(connection, 0);
+  connection.state = ClientState::discarding_input;
+  deadlines_.set(id, now + kDrainTimeout);
+}
+
+bool ClientAdmission::hasUnansweredRequests() const {
+  return std::any_of(clients_.connections.begin(), clients_.connections.end(),
+                     [](const auto& entry) { return entry.second.state == ClientState::awaiting_reply; });
+}
+
 void ClientAdmission::onRequestMalformed(ConnectionId id, Micros now) {
   ClientConnection& connection = clients_.connections.at(id);
   closeRequest(connection);
@@ -230,7 +247,8 @@
 
 // The first request of a connection that was just accepted may be in transit, so such a connection stays open
 // until the request is answered or kDrainTimeout has passed.
-std::vector<ConnectionId> ClientAdmission::startDraining(Micros now) {
+std::vector<ConnectionId> ClientAdmission::startDraining(Micros now, Micros reading_time) {
+  reading_ends_at_ = std::min(is_draining_ ? reading_ends_at_ : kNoDeadline, now + reading_time);
   is_draining_ = true;
   std::vector<ConnectionId> to_close;
   for (const auto& [id, connection] : clients_.connections) {
--- a/src/network/client_admission.h
+++ b/src/network/client_admission.h
@@ -49,6 +49,12 @@
   // `has_submitted`: the request submitted a message that was accepted or rejected as busy, not in error.
   void onReplyStarted(ConnectionId id, bool has_submitted, Micros now);
   AfterReply onReplyWritten(ConnectionId id, bool has_more_input, Micros now);
+  // Whether another request may be read from the connection. False if it is to be closed: a drain has gone on
+  // for its reading time, and the connection's complete requests are answered.
+  bool mayReadNextRequest(ConnectionId id, Micros now) const;
+  // No further request is read: input of the connection is discarded until the client closes it, or until a
+  // deadline.
+  void onReadingEnded(ConnectionId id, Micros now);
   // The request violates the protocol. Input of the connection is discarded from now on, and the connection
   // is closed when the deadline for the error reply has passed, if not earlier.
   void onRequestMalformed(ConnectionId id, Micros now);
@@ -70,8 +76,9 @@
   std::optional<EvictionEvent> pollEvictionEvent(Micros now);
   bool isEvictionPeriodActive() const { return eviction_report_.isActive(); }
 
-  // Returns the connections to close now. The caller keeps those that have unread input.
-  std::vector<ConnectionId> startDraining(Micros now);
+  // Returns the connections to close now. The caller keeps those that have unread input. Connections that
+  // always have more input, as their clients pipeline, are read from for `reading_time` at most.
+  std::vector<ConnectionId> startDraining(Micros now, Micros reading_time);
   void stopDraining() { is_draining_ = false; }
   bool isDraining() const { return is_draining_; }
 
@@ -81,6 +88,8 @@
   bool mayCloseOverdue(ConnectionId id, bool has_unread_input, Micros now);
   Micros nextDeadline() const { return deadlines_.next(); }  // kNoDeadline: there is none
 
+  // Whether a complete request of any connection is unanswered, including queued ones.
+  bool hasUnansweredRequests() const;
   ClientState state(ConnectionId id) const { return clients_.connections.at(id).state; }
   Micros deadline(ConnectionId id) const { return deadlines_.deadlineOf(id); }
   std::size_t size() const { return clients_.connections.size(); }
@@ -103,6 +112,7 @@
   std::deque<ConnectionId> stalled_readers_;  // may contain connections that have been closed
   std::int64_t open_requests_ = 0;
   std::size_t pooled_bytes_ = 0;
+  Micros reading_ends_at_ = kNoDeadline;  // of a drain: from then on no further requests are read
   bool is_draining_ = false;
 };
 
--- a/src/network/client_server.cpp
+++ b/src/network/client_server.cpp
@@ -93,6 +93,7 @@
       return;
     }
     is_open_ = false;
+    server_.closing_connections_ -= is_closing_ ? 1 : 0;
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
@@ -117,10 +118,10 @@
     parseInput();
   }
 
-  // Counts input that arrived after a malformed request.
+  // Counts input that arrived after a malformed request, or while closing.
   void discard(std::size_t count) {
     discarded_bytes_ += count;
-    if (discarded_bytes_ >= kMaxDiscardedBytes) {
+    if (discarded_bytes_ >= kMaxDiscardedBytes && !is_closing_) {
       close();
     } else {
       waitForInput();
@@ -138,6 +139,8 @@
       if (server_.admission_.onRequestComplete(id_, monotonicNow()) == RequestAdmission::process_now) {
         processRequest(*request);
       }
+    } else if (!server_.admission_.mayReadNextRequest(id_, monotonicNow())) {
+      endReading();
     } else {
       server_.admission_.onRequestPartial(id_, monotonicNow());
       server_.scheduleDeadlines();
@@ -168,6 +171,11 @@
   }
 
   void submit(SubmittedMessage message, Micros sent_at) {
+    if (!server_.admission_.mayReadNextRequest(id_, monotonicNow())) {
+      // One request is decided on in each round; there may be no time left for all that were read.
+      reply(toRespLine({SubmitStatus::busy, 0}), false);
+      return;
+    }
     message.deadline = Deadline::after(sent_at, message.time_to_live);
     ++server_.unanswered_requests_;
     server_.on_submit_(std::move(message), [self = shared_from_this()](const SubmitReply& submit_reply) {
@@ -208,14 +216,27 @@
       close();
       return;
     }
-    if (input_.empty()) {
-      waitForInput();
-    } else {
+    if (!input_.empty()) {
       parseInput();
+    } else if (!server_.admission_.mayReadNextRequest(id_, monotonicNow())) {
+      endReading();
+    } else {
+      waitForInput();
     }
     server_.resumeQueued();
   }
 
+  // All requests that were read are answered, and no more are read.
+  void endReading() {
+    std::string().swap(input_);
+    is_discarding_ = true;
+    is_closing_ = true;
+    ++server_.closing_connections_;
+    server_.admission_.onReadingEnded(id_, monotonicNow());
+    server_.scheduleDeadlines();
+    shutdownAndDiscard();
+  }
+
   // Shuts down the sending side and goes on reading: closing a socket that has unread input resets the
   // connection, and the peer would lose the reply. The admission's deadline ends this.
   void shutdownAndDiscard() {
@@ -234,7 +255,8 @@
   Micros last_bytes_sent_at_ = 0;  // the earliest time at which the latest bytes can have been sent
   Micros request_sent_at_ = 0;     // the same for the first bytes of the buffered request
   bool is_open_ = true;
-  bool is_discarding_ = false;  // a malformed request was received; further input is discarded
+  bool is_discarding_ = false;  // after a malformed request, or while closing: further input is discarded
+  bool is_closing_ = false;     // a drain has ended the reading
 };
 
 ClientServer::ClientServer(asio::io_context& io, tcp::acceptor acceptor, ClientAdmission& admission,
@@ -480,8 +502,8 @@
   accept();
 }
 
-void ClientServer::startDraining() {
-  for (const ConnectionId id : admission_.startDraining(monotonicNow())) {
+void ClientServer::startDraining(Micros reading_time) {
+  for (const ConnectionId id : admission_.startDraining(monotonicNow(), reading_time)) {
     if (!markUnreadInput(id)) {
       sessions_.at(id)->close();
     }
--- a/src/network/client_server.h
+++ b/src/network/client_server.h
@@ -35,8 +35,10 @@
 
   // PING is answered with an error until stopDraining() is called. Connections that are between two requests
   // are closed now, unless they have unread input. Connections with a partial or open request, those that
-  // were just accepted and those that are accepted later are closed once their request is answered.
-  void startDraining();
+  // were just accepted and those that are accepted later are closed once their request is answered. A
+  // connection that always has more input is closed after `reading_time`: the complete requests that were
+  // read are rejected as busy, the sending side is shut down, and input is discarded until the client closes.
+  void startDraining(Micros reading_time);
   void stopDraining() { admission_.stopDraining(); }
   // New connections wait in the kernel's accept queue until resumeAccepting() is called.
   void pauseAccepting();
@@ -45,8 +47,12 @@
   void stop();
   // To be called after the budget of the admission has changed.
   void applyBudget();
-  // The number of submitted messages whose reply callback has not been called yet.
-  std::size_t unansweredRequests() const { return unanswered_requests_; }
+  // Whether the reply callback of a submitted message has not been called yet.
+  bool hasUndecidedRequests() const { return unanswered_requests_ > 0; }
+  // Whether a complete request that was read is unanswered.
+  bool hasUnansweredRequests() const { return hasUndecidedRequests() || admission_.hasUnansweredRequests(); }
+  // Whether a connection that a drain shut down waits for its client to close it.
+  bool hasClosingConnections() const { return closing_connections_ > 0; }
   std::size_t connectionCount() const { return sessions_.size(); }
 
  private:
@@ -77,6 +83,7 @@
   OnSubmit on_submit_;
   std::map<ConnectionId, std::shared_ptr<Session>> sessions_;
   std::size_t unanswered_requests_ = 0;
+  std::size_t closing_connections_ = 0;
   QueueAge accept_queue_;                    // of the kernel's accept queue
   Micros scheduled_deadline_ = kNoDeadline;  // for which deadline_timer_ is set; kNoDeadline: it is not set
   bool is_accepting_ = false;                // an asynchronous wait for connections is pending
--- a/src/process/active_role.cpp
+++ b/src/process/active_role.cpp
@@ -62,21 +62,13 @@
   notifier_.stop();
 }
 
-void ActiveRole::setDraining(bool draining) {
-  if (draining) {
-    clients_.startDraining();
-  } else {
-    clients_.stopDraining();
-  }
-}
-
 void ActiveRole::changeDiscovery(const tcp::endpoint& server, const std::string& host) {
   endpoint_watch_.changeServer(server, host);
   notifier_.changeServer(server, host);
 }
 
 bool ActiveRole::idle() const {
-  return !hasUnansweredRequests() && notifier_.pendingCount() == 0 && driver_.idle();
+  return !hasUnansweredRequests() && !hasClosingClients() && notifier_.pendingCount() == 0 && driver_.idle();
 }
 
 }  // namespace delivery
--- a/src/process/active_role.h
+++ b/src/process/active_role.h
@@ -47,8 +47,10 @@
   // Stops all parts, and flushes and closes the journal. Another process may own it from then on.
   void stepDown();
 
-  // While draining, PING is answered with an error and client connections are closed between requests.
-  void setDraining(bool draining);
+  // While draining, PING is answered with an error and client connections are closed between requests, at the
+  // latest once the requests are answered that were read within `reading_time`.
+  void startDraining(Micros reading_time) { clients_.startDraining(reading_time); }
+  void stopDraining() { clients_.stopDraining(); }
   // While accepting is paused, new client connections wait in the kernel's queue of the listening socket.
   void pauseAccepting() { clients_.pauseAccepting(); }
   void resumeAccepting() { clients_.resumeAccepting(); }
@@ -62,7 +64,8 @@
 
   bool hasEndpointList() const { return driver_.hasEndpointList(); }
   bool hasClients() const { return clients_.connectionCount() > 0; }
-  bool hasUnansweredRequests() const { return clients_.unansweredRequests() > 0; }
+  bool hasUnansweredRequests() const { return clients_.hasUnansweredRequests(); }
+  bool hasClosingClients() const { return clients_.hasClosingConnections(); }
   // True if no message, request or completion notice is pending.
   bool idle() const;
 
--- a/src/process/sender_process.cpp
+++ b/src/process/sender_process.cpp
@@ -15,9 +15,15 @@
 
 // The interval at which the state is polled while the process waits for something that causes no event.
 constexpr Micros kPollInterval = 10'000;
-// How long a handover waits for the rest of requests that have arrived in part. It is shorter than the 400 ms
-// for which a client waits for its answer.
+// For how long requests are read from clients that always have more. With the 1 s for closing after that, all
+// connections are closed within the first 4 s of a drain and before a stopped process exits.
+constexpr Micros kDrainReadingTime = 1'000'000;
+// The same during a handover, which keeps clients waiting.
+constexpr Micros kHandoverReadingTime = 100'000;
+// How long a handover waits for the rest of requests that have arrived in part, and for clients to close
+// connections that were shut down. Both are shorter than the 400 ms for which a client waits for its answer.
 constexpr Micros kPartialRequestGrace = 200'000;
+constexpr Micros kClosingClientGrace = 300'000;
 // An owner that has not handed over after this time is considered hung and is killed. The limit leaves time
 // for the replacement, which has to serve within 6 s.
 constexpr Micros kHungOwnerTimeout = 4'000'000;
@@ -187,7 +193,11 @@
     active_role_->onOutcome(std::move(outcome));
   }
   continues_earlier_process_ = true;
-  active_role_->setDraining(drained_by_operator_);
+  if (drained_by_operator_) {
+    active_role_->startDraining(kDrainReadingTime);
+  } else {
+    active_role_->stopDraining();
+  }
   successor_role_.announceServing();
   logInfo("process", "ready");
 }
@@ -222,14 +232,15 @@
     return;
   }
   active_role_->pauseAccepting();
-  active_role_->setDraining(true);
+  active_role_->startDraining(kHandoverReadingTime);
   advance();
 }
 
 // True if no client waits for an answer, and all clients have disconnected or have had time to send the rest
-// of their requests.
+// of their requests or to close.
 bool SenderProcess::clientRequestsCompleted() const {
-  const bool waited_long_enough = monotonicNow() - predecessor_role_.acceptedAt() > kPartialRequestGrace;
+  const Micros grace = active_role_->hasClosingClients() ? kClosingClientGrace : kPartialRequestGrace;
+  const bool waited_long_enough = monotonicNow() - predecessor_role_.acceptedAt() > grace;
   return !active_role_->hasUnansweredRequests() && (!active_role_->hasClients() || waited_long_enough);
 }
 
@@ -250,7 +261,7 @@
   awaiting_ownership_since_ = monotonicNow();
   if (active_role_) {
     if (!drained_by_operator_ && !stop_requested_at_) {
-      active_role_->setDraining(false);
+      active_role_->stopDraining();
     }
     active_role_->resumeAccepting();
   }
@@ -321,7 +332,11 @@
 
 void SenderProcess::setDraining(bool draining) {
   drained_by_operator_ = draining;
-  active_role_->setDraining(draining);
+  if (draining) {
+    active_role_->startDraining(kDrainReadingTime);
+  } else {
+    active_role_->stopDraining();
+  }
 }
 
 void SenderProcess::stop() {
@@ -331,7 +346,7 @@
   logInfo("process", "stopping");
   stop_requested_at_ = monotonicNow();
   if (active_role_) {
-    active_role_->setDraining(true);
+    active_role_->startDraining(kDrainReadingTime);
     active_role_->scheduleShutdown(*stop_requested_at_ + kShutdownTimeout);
   }
   advance();
--- a/tests/network/client_admission_test.cpp
+++ b/tests/network/client_admission_test.cpp
@@ -84,7 +84,7 @@
   clients.onBytesReceived(reading, 10, kSecond);
   clients.onRequestPartial(reading, kSecond);
   const ConnectionId just_accepted = clients.onAccepted("a", kSecond);
-  EXPECT_EQ((std::vector<ConnectionId>{idle, silent}), clients.startDraining(kSecond + 50 * kMs));
+  EXPECT_EQ((std::vector<ConnectionId>{idle, silent}), clients.startDraining(kSecond + 50 * kMs, kSecond));
   EXPECT_EQ(2 * kSecond + 50 * kMs, clients.deadline(just_accepted));
   EXPECT_EQ(2 * kSecond, clients.deadline(reading));
   const ConnectionId late = clients.onAccepted("a", 2 * kSecond);
@@ -97,6 +97,25 @@
       << "a connection accepted during a drain is closed once it is answered";
 }
 
+// A client that always has more requests is read from for a limited time of a drain. A second drain, as of
+// SIGTERM after DRAIN, does not extend that time.
+TEST(ClientAdmission, ADrainReadsFurtherRequestsForItsReadingTimeOnly) {
+  ClientAdmission clients(smallBudget(10));
+  const ConnectionId pipelining = addIdleSubmitter(clients, "a", 0);
+  EXPECT_TRUE(clients.mayReadNextRequest(pipelining, 0));
+  clients.startDraining(0, kSecond);
+  clients.startDraining(500 * kMs, kSecond);
+  EXPECT_TRUE(clients.mayReadNextRequest(pipelining, kSecond - 1));
+  EXPECT_FALSE(clients.mayReadNextRequest(pipelining, kSecond));
+  const ConnectionId late = clients.onAccepted("a", kSecond);
+  EXPECT_TRUE(clients.mayReadNextRequest(late, kSecond)) << "its first request is read";
+  clients.onReadingEnded(pipelining, kSecond);
+  EXPECT_EQ(2 * kSecond, clients.deadline(pipelining));
+  clients.stopDraining();
+  clients.startDraining(5 * kSecond, kSecond);
+  EXPECT_TRUE(clients.mayReadNextRequest(late, 6 * kSecond - 1));
+}
+
 // A connection that pipelines requests must not starve the others: it is queued again after each request.
 TEST(ClientAdmission, QueuesCompleteRequestsBeyondTheLimitOfOpenOnes) {
   ClientAdmission clients(smallBudget(10, 1));
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -2,11 +2,13 @@
 // in the socket when its connection would be closed.
 #include "network/client_server.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <thread>
 
 #include "common/clocks.h"
 #include "network/listener.h"
@@ -17,6 +19,7 @@
 namespace {
 
 constexpr Micros kMs = 1000;
+constexpr Micros kReadingTime = 60'000 * kMs;  // of a drain
 
 // A client server with an admission of its own. It accepts every message.
 struct TestServer {
@@ -27,6 +30,7 @@
         io, std::move(acceptor), admission,
         [this](SubmittedMessage message, const ClientServer::ReplyCallback& reply) {
           submitted = std::move(message);
+          ++submitted_count;
           reply({SubmitStatus::accepted});
         });
   }
@@ -45,7 +49,8 @@
   boost::asio::io_context io;
   ClientAdmission admission;
   int port = 0;
-  std::optional<SubmittedMessage> submitted;
+  std::optional<SubmittedMessage> submitted;  // the latest one
+  std::size_t submitted_count = 0;
   std::unique_ptr<ClientServer> server;
 };
 
@@ -97,7 +102,7 @@
   test.runUntil([&] { return test.server->connectionCount() == 1; });
   test.io.poll();
   client.send(kSubmitRequest);
-  test.server->startDraining();
+  test.server->startDraining(kReadingTime);
   test.runUntil([&] { return test.server->connectionCount() == 0; });
   EXPECT_TRUE(test.submitted);
   EXPECT_EQ("+OK", client.readLine());
@@ -150,12 +155,44 @@
   test.runUntil([&] { return test.server->connectionCount() == 1; });
   client.send(kSubmitRequest + kSubmitRequest);
   test.runUntil([&] { return test.submitted.has_value(); });  // its reply is being written
-  test.server->startDraining();
+  test.server->startDraining(kReadingTime);
   test.runUntil([&] { return test.server->connectionCount() == 0; });
   EXPECT_EQ("+OK", client.readLine());
   EXPECT_EQ("+OK", client.readLine());
   EXPECT_TRUE(client.hasNoMoreLines());
 }
 
+// Guards against a drain that never ends, and against requests that are read and not answered: a client
+// always has more requests under way. Each request that was read gets a reply, then the connection ends.
+TEST(ClientServer, ADrainEndsAConnectionThatAlwaysHasMoreRequests) {
+  TestServer test(2);
+  loopback::SenderClient client(test.port);
+  std::atomic<bool> stop{false};
+  std::atomic<bool> stopped{false};
+  std::thread requests([&] {
+    while (!stop && client.trySend(kSubmitRequest + kSubmitRequest)) {
+    }
+    stopped = true;
+  });
+  test.runUntil([&] { return test.submitted_count > 10; });
+  test.server->startDraining(0);
+  test.runUntil([&] { return test.server->hasClosingConnections(); });
+  EXPECT_FALSE(test.server->hasUnansweredRequests());
+  stop = true;
+  test.runUntil([&] { return stopped || test.server->connectionCount() == 0; });
+  requests.join();
+  std::size_t accepted = 0;
+  std::string reply = client.readLine();
+  while (reply == "+OK") {
+    ++accepted;
+    reply = client.readLine();
+  }
+  while (reply.rfind("-BUSY", 0) == 0) {
+    reply = client.readLine();
+  }
+  EXPECT_EQ("", reply);
+  EXPECT_EQ(test.submitted_count, accepted);
+}
+
 }  // namespace
 }  // namespace delivery
--- a/tests/network/malformed_response_test.cpp
+++ b/tests/network/malformed_response_test.cpp
@@ -125,7 +125,7 @@
       EXPECT_LE(test.connection.bufferedBytes(), kMaxBufferedBytes);
     }
     ::shutdown(test.peer, SHUT_WR);  // fails if the sender has closed the connection
-    const HttpResponse response = test.awaitResponse();
+    HttpResponse response = test.awaitResponse();
     EXPECT_EQ(0u, test.connection.bufferedBytes());
     EXPECT_FALSE(test.connection.isIdle() && !response.body_complete);
     return response;
