--- a/src/process/decision_driver.cpp
+++ b/src/process/decision_driver.cpp
@@ -60,6 +60,18 @@
   line.field("duration_ms", duration_ms);
 }
 
+// After a failed write, the journal is written again at this interval. Short beside the time by which a
+// notice may be late.
+constexpr Micros kFlushRetryInterval = 50'000;
+
+void logOptionalRecords(bool lacking) {
+  if (lacking) {
+    logWarning("journal", "endpoint_list_not_stored").field("reason", "open messages need the disk space");
+  } else {
+    logInfo("journal", "endpoint_list_stored");
+  }
+}
+
 void logFlushFailure(const Journal& journal) {
   LogLine line = logError("journal", "write_failed");
   const std::optional<JournalError>& error = journal.flushError();
@@ -84,7 +96,8 @@
       notifier_(notifier),
       cancel_in_other_process_(std::move(cancel_in_other_process)),
       round_timer_(io),
-      wakeup_timer_(io) {}
+      wakeup_timer_(io),
+      flush_retry_timer_(io) {}
 
 // ---- Recovery
 
@@ -349,6 +362,7 @@
   wakeup_times_.clear();
   round_timer_.cancel();
   wakeup_timer_.cancel();
+  flush_retry_timer_.cancel();
 }
 
 // ---- Actions
@@ -359,15 +373,49 @@
   endMessagesAndRecordHealth(actions);
   recordAcceptedMessages();
   const AttemptNumbers attempt_numbers = recordAttempts(actions);
-  const bool persisted = journal_.flush();
-  if (!persisted) {
-    logFlushFailure(journal_);
-  }
+  const bool persisted = flushJournal();
   acknowledgeAcceptedMessages(persisted);
   executeNetworkAndTimerActions(actions, attempt_numbers, persisted);
   armWakeupTimer();
 }
 
+// Writes the buffered records and sends the notices that they allow. After a failure, tries again until it
+// succeeds. Returns whether the records were written.
+bool DecisionDriver::flushJournal() {
+  const bool flushed = journal_.flush();
+  if (!flushed && journal_is_writable_) {
+    logFlushFailure(journal_);
+  } else if (flushed && !journal_is_writable_) {
+    logInfo("journal", "writable_again");
+  }
+  journal_is_writable_ = flushed;
+  if (journal_.lacksOptionalRecords() != lacks_optional_records_) {
+    lacks_optional_records_ = journal_.lacksOptionalRecords();
+    logOptionalRecords(lacks_optional_records_);
+  }
+  sendNotices(flushed);
+  if (!flushed) {
+    retryFlushLater();
+  }
+  return flushed;
+}
+
+void DecisionDriver::sendNotices(bool recorded) {
+  const Micros now = monotonicNow();
+  for (const auto& entry : unrecorded_notices_.takeSendable(recorded, now, kFlushRetryInterval)) {
+    notifier_.enqueue(entry.message_id, entry.notice);
+  }
+}
+
+void DecisionDriver::retryFlushLater() {
+  flush_retry_timer_.expires_after(std::chrono::microseconds(kFlushRetryInterval));
+  flush_retry_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled && !stepped_down_) {
+      flushJournal();
+    }
+  });
+}
+
 void DecisionDriver::endMessagesAndRecordHealth(const std::vector<Action>& actions) {
   for (const Action& action : actions) {
     if (const auto* reject = std::get_if<Reject>(&action)) {
@@ -382,7 +430,7 @@
 }
 
 // Ends a message without delivery. A client that still waits for its answer receives `reply`. If the message
-// was accepted in an earlier round, the platform receives `notice` instead.
+// was accepted in an earlier round, the platform receives `notice` instead, once that is recorded.
 void DecisionDriver::endMessage(const std::string& id, const SubmitReply& reply,
                                 const CompletionNotice& notice) {
   const auto found = pending_messages_.find(id);
@@ -390,6 +438,7 @@
     return;
   }
   const ClientServer::ReplyCallback send_reply = std::move(found->second.reply);
+  const Deadline deadline = found->second.message.deadline;
   pending_messages_.erase(found);
   if (send_reply) {
     new_message_ids_.erase(id);
@@ -397,7 +446,7 @@
     return;
   }
   journal_.recordNoticePending(id, notice);
-  notifier_.enqueue(id, notice);
+  unrecorded_notices_.add(id, notice, deadline);
 }
 
 void DecisionDriver::recordAcceptedMessages() {
--- a/src/process/decision_driver.h
+++ b/src/process/decision_driver.h
@@ -20,6 +20,7 @@
 #include "network/client_server.h"
 #include "network/completion_notifier.h"
 #include "network/endpoint_pool.h"
+#include "process/unrecorded_notices.h"
 #include "protocol/endpoint_list.h"
 #include "protocol/submit_reply.h"
 #include "storage/journal.h"
@@ -66,8 +67,8 @@
   // Announces that the process ends at `at`, a point on the monotonic clock.
   void scheduleShutdown(Micros at);
 
-  // True if no event is queued and no message is pending.
-  bool idle() const { return events_.empty() && pending_messages_.empty(); }
+  // True if no event is queued, no message is pending and no notice waits for its record.
+  bool idle() const { return events_.empty() && pending_messages_.empty() && unrecorded_notices_.empty(); }
 
  private:
   // The value of last_round_at_ before the first round: far in the past, but no sum or difference with a span
@@ -115,6 +116,9 @@
   void runRound();
 
   void executeActions(const std::vector<Action>& actions);
+  bool flushJournal();
+  void sendNotices(bool recorded);
+  void retryFlushLater();
   void endMessagesAndRecordHealth(const std::vector<Action>& actions);
   void endMessage(const std::string& id, const SubmitReply& reply, const CompletionNotice& notice);
   void recordAcceptedMessages();
@@ -143,9 +147,13 @@
   std::multiset<Micros> wakeup_times_;  // requested by the decision module, on the monotonic clock
   boost::asio::steady_timer round_timer_;
   boost::asio::steady_timer wakeup_timer_;
+  boost::asio::steady_timer flush_retry_timer_;
+  UnrecordedNotices unrecorded_notices_;
   Micros last_round_at_ = kNoRoundYet;  // on the monotonic clock
   bool round_scheduled_ = false;
   bool stepped_down_ = false;
+  bool journal_is_writable_ = true;      // the latest flush succeeded
+  bool lacks_optional_records_ = false;  // as logged
 };
 
 }  // namespace delivery
