--- a/src/common/events.h
+++ b/src/common/events.h
@@ -87,6 +87,12 @@
   Micros retry_after_until = 0;
 };
 
+// Whether attempts can be recorded at present. Without a record none may be started, so no attempt is decided
+// on until they can be recorded again.
+struct JournalAvailability {
+  bool is_writable = true;
+};
+
 // This process will end.
 struct ShutdownScheduled {
   // On the monotonic clock. Outcomes that arrive later are lost.
@@ -107,6 +113,8 @@
   AttemptResult result = AttemptResult::ok;
   // The message has ended with this attempt and is not to be sent again.
   bool finished = false;
+  // The attempt was not started, as it could not be recorded. It does not count towards the maximum.
+  bool never_started = false;
   // The attempt has no outcome yet. Only the Retry-After in the head of its answer is reported.
   bool still_in_flight = false;
   // 0: the answer named no pause.
@@ -133,7 +141,7 @@
 // The delay of an earlier SetTimer has passed.
 struct TimerFired {};
 
-using Event = std::variant<Arrival, RecoveredMessage, HealthRecord, ShutdownScheduled, Abandoned,
-                           AttemptOutcome, EndpointsChanged, TimerFired>;
+using Event = std::variant<Arrival, RecoveredMessage, HealthRecord, JournalAvailability, ShutdownScheduled,
+                           Abandoned, AttemptOutcome, EndpointsChanged, TimerFired>;
 
 }  // namespace delivery
--- a/src/decision/retry_policy.h
+++ b/src/decision/retry_policy.h
@@ -29,7 +29,7 @@
   // if the settings allow it.
   bool maySend(const Message& message, Endpoint& endpoint) const {
     const MessageClass& message_class = *message.message_class;
-    if (static_cast<int>(message.attempts.size()) >= context.settings.max_attempts) {
+    if (message.startedAttempts() >= context.settings.max_attempts) {
       return false;
     }
     if (message.attempts_in_flight > 0 && !context.settings.may_hedge) {
@@ -103,7 +103,7 @@
   // least the shortest latency objective, as an earlier retry would displace a first attempt that is still in
   // time, and a random delay keeps them from returning to an ejected destination at once.
   Micros nextAttemptAt(const Message& message, Endpoint& endpoint) const {
-    const int attempts_left = context.settings.max_attempts - static_cast<int>(message.attempts.size());
+    const int attempts_left = context.settings.max_attempts - message.startedAttempts();
     const double time_left = message.expires_at - context.now;
     double min_backoff = detector.baselineLatency(endpoint);
     if (context.hasManySenders()) {
--- a/src/decision/scheduler.cpp
+++ b/src/decision/scheduler.cpp
@@ -65,6 +65,8 @@
   Micros timer_at = kNever;
   // Outcomes after this moment are lost. kNever: no shutdown is scheduled.
   Micros shutdown_at = kNever;
+  // Attempts can be recorded, see JournalAvailability.
+  bool may_start_attempts = true;
 
   Impl(Settings settings, std::uint64_t seed) : context(std::move(settings), seed) {}
 
@@ -300,7 +302,7 @@
         endpoint->batch_capacity_left = 0;
       }
     }
-    while (!calls.allSlotsUsed()) {
+    while (may_start_attempts && !calls.allSlotsUsed()) {
       if (!dispatchNext()) {
         return;
       }
@@ -448,6 +450,7 @@
       return;
     }
     calls.remove(*message, attempt);
+    message->unstarted_attempts += outcome.never_started ? 1 : 0;
     // Overdue calls are counted anew in each round.
     OutlierDetector::clearOverdueCalls(endpoint);
     connection_reuse.recordOutcome(attempt, result);
@@ -490,6 +493,7 @@
   }
 
   void apply(const EndpointsChanged& change) { directory.update(change); }
+  void apply(const JournalAvailability& journal) { may_start_attempts = journal.is_writable; }
   void apply(const ShutdownScheduled& shutdown) { shutdown_at = shutdown.at; }
   // A timer only causes a round.
   void apply(const TimerFired&) {}
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -264,6 +264,9 @@
   std::uint64_t sequence_number = 0;
   // The attempts in the order of their numbers, those of earlier processes included.
   std::vector<Attempt> attempts;
+  // How many of them were never started, because the journal could not record them. They do not count towards
+  // Settings::max_attempts.
+  int unstarted_attempts = 0;
   // The message is in Destination::queued_messages.
   bool queued = false;
   // The message has its final answer or needs none.
@@ -272,13 +275,15 @@
   bool accepted_before_restart = false;
   int attempts_in_flight = 0;
 
+  int startedAttempts() const { return static_cast<int>(attempts.size()) - unstarted_attempts; }
+
   bool mayHaveRun() const {
     return std::any_of(attempts.begin(), attempts.end(), [](auto& attempt) { return attempt.may_have_run; });
   }
 
   // Whether the message was accepted before a restart and has not been attempted. Such messages are sent
   // first and are not shed, as they were accepted.
-  bool isUntriedAfterRestart() const { return accepted_before_restart && attempts.empty(); }
+  bool isUntriedAfterRestart() const { return accepted_before_restart && startedAttempts() == 0; }
 };
 
 // Refers to an attempt. A reference to the attempt itself would not outlast the next attempt of its message.
--- a/src/process/decision_driver.cpp
+++ b/src/process/decision_driver.cpp
@@ -249,7 +249,7 @@
     reply(*immediate_reply);
     return;
   }
-  const bool fits_into_journal = journal_.reserve(message);
+  const bool fits_into_journal = journal_is_writable_ && journal_.reserve(message);
   if (!fits_into_journal) {
     reply({SubmitStatus::busy, settings_.max_retry_after});
     return;
@@ -388,6 +388,9 @@
   } else if (flushed && !journal_is_writable_) {
     logInfo("journal", "writable_again");
   }
+  if (flushed != journal_is_writable_) {
+    addEvent(JournalAvailability{flushed});
+  }
   journal_is_writable_ = flushed;
   if (journal_.lacksOptionalRecords() != lacks_optional_records_) {
     lacks_optional_records_ = journal_.lacksOptionalRecords();
@@ -509,7 +512,7 @@
   }
 }
 
-// An attempt that could not be persisted is not started; its outcome is that the message was not sent.
+// An attempt that could not be persisted is not started, and does not count.
 void DecisionDriver::startAttempt(const SendAttempt& send, int attempt, bool persisted) {
   if (persisted) {
     const SubmittedMessage& message = pending_messages_.at(send.id).message;
@@ -521,6 +524,7 @@
   outcome.id = send.id;
   outcome.attempt = attempt;
   outcome.result = AttemptResult::not_sent;
+  outcome.never_started = true;
   onOutcome(std::move(outcome));
 }
 
--- a/tests/decision/scheduler_test.cpp
+++ b/tests/decision/scheduler_test.cpp
@@ -45,6 +45,45 @@
   }
 }
 
+// Guards against charges that are handed back although nothing was sent (review/6): calls that could not be
+// recorded used up all attempts of a message.
+TEST(DeliveryScheduler, AttemptsThatNeverStartedDoNotCount) {
+  Settings settings = makeSettings();
+  for (MessageClass& message_class : settings.classes) {
+    message_class.deadline = 3600 * kSecond;
+  }
+  SchedulerDriver driver(settings);
+  driver.updateEndpoints({makeEndpoint("e1", 1)});
+  ASSERT_EQ(driver.submit("m", "non_idempotent", 1), Ids{"m"});
+  const int unstarted_attempts = 2 * settings.max_attempts;
+  const int last_attempt = unstarted_attempts + settings.max_attempts - 1;
+  for (int attempt = 0; attempt < last_attempt; ++attempt) {
+    AttemptOutcome outcome = driver.makeOutcome("m", attempt, AttemptResult::not_sent);
+    outcome.never_started = attempt < unstarted_attempts;
+    Ids sent = driver.decide({outcome});
+    while (sent.empty() && driver.actionsOfType<Reject>().empty() &&
+           driver.now < settings.classes[0].deadline) {
+      sent = driver.advanceTo(driver.now + kSecond).fireTimer();
+    }
+    ASSERT_EQ(sent, Ids{"m"}) << attempt;
+  }
+  driver.reportOutcome("m", last_attempt, AttemptResult::not_sent);
+  EXPECT_EQ(driver.actionsOfType<Reject>().size(), 1u);
+}
+
+// No attempt is decided on that could not be recorded. Messages still end in time.
+TEST(DeliveryScheduler, NothingIsSentWhileTheJournalCannotBeWritten) {
+  SchedulerDriver driver;
+  driver.updateEndpoints({makeEndpoint("e1", 1)});
+  driver.decide({JournalAvailability{false}});
+  EXPECT_TRUE(driver.submit("short", "non_idempotent", 1).empty());
+  EXPECT_TRUE(driver.advanceTo(10 * kSecond).submit("long", "non_idempotent", 1).empty());
+  EXPECT_TRUE(driver.advanceTo(20 * kSecond).fireTimer().empty());
+  ASSERT_EQ(driver.actionsOfType<Fail>().size(), 1u);
+  EXPECT_EQ(driver.actionsOfType<Fail>()[0].id, "short");
+  EXPECT_EQ(driver.decide({JournalAvailability{true}}), Ids{"long"});
+}
+
 // A message that expires before the Retry-After of its destination has passed is rejected at once, so that
 // its client learns when to retry. All other messages are queued.
 TEST(DeliveryScheduler, MessageThatExpiresBeforeRetryAfterIsRejectedAtOnce) {
--- a/tests/process/unwritable_journal_test.cpp
+++ b/tests/process/unwritable_journal_test.cpp
@@ -60,6 +60,44 @@
   EXPECT_TRUE(process.runUntil([&] { return surroundings.discovery.noticeCount() == 1; }));
 }
 
+// Guards against messages that run out of attempts although no call has left (review/6), and against a
+// journal that stays unused after its disk has recovered.
+TEST(UnwritableJournal, MessagesAreSentOnceTheJournalCanBeWrittenAgain) {
+  std::atomic<bool> throttle{true};
+  DriverSurroundings surroundings([&](const ReceivedRequest&) {
+    return throttle ? ServerAction{httpResponse("429 Too Many", "Retry-After: 0.3\r\n")}
+                    : ServerAction{httpResponse("200 OK")};
+  });
+  DriverProcess process(surroundings);
+  ASSERT_EQ(SubmitStatus::accepted, process.submit("charge", "payment"));
+  ASSERT_TRUE(process.runUntil([&] { return surroundings.endpoint.requests().size() == 1; }));
+  surroundings.failWrites();
+  throttle = false;
+  ASSERT_TRUE(process.runUntil([&] { return process.journal().flushError().has_value(); }));
+  const Micros failing_until = monotonicNow() + 1'500'000;
+  ASSERT_TRUE(process.runUntil([&] { return monotonicNow() > failing_until; }));
+  EXPECT_EQ(SubmitStatus::busy, process.submit("other", "payment"));
+  EXPECT_EQ(1u, surroundings.endpoint.requests().size());
+  surroundings.repairWrites();
+  ASSERT_TRUE(process.runUntil([&] { return process.driver().idle(); }));
+  EXPECT_EQ(2u, surroundings.endpoint.requests().size());
+  EXPECT_EQ(0u, surroundings.discovery.noticeCount()) << surroundings.discovery.noticesAsText();
+}
+
+// Guards against memory that grows with each message that is submitted while nothing can be written.
+TEST(UnwritableJournal, SubmittedMessagesDoNotFillTheMemory) {
+  constexpr std::size_t kBodyBytes = 60'000;
+  DriverSurroundings surroundings(loopback::respondOk);
+  DriverProcess process(surroundings);
+  surroundings.failWrites();
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_EQ(SubmitStatus::busy,
+              process.submit("m" + std::to_string(i), "payment", 28'000'000, std::string(kBodyBytes, 'x')));
+  }
+  EXPECT_LT(process.journal().unwrittenBytes(), 2 * kBodyBytes);
+  EXPECT_TRUE(surroundings.endpoint.requests().empty());
+}
+
 TEST(UnrecordedNotices, TheSendableOnesAreThoseThatAreRecordedOrDue) {
   constexpr Micros kMargin = 50;
   UnrecordedNotices notices;
