Repeat an unanswered notice on another connection within its time

Cause: CompletionNotifier waited 500 ms for an answer and opened a new connection only after that.

Change: a request without an answer is repeated on a new connection after 75 ms, 150 ms, 300 ms and then every 600 ms, while the earlier ones wait; at most three are in flight. The first answer counts. A repeat carries what became due meanwhile. A connection may take 2 s to come up (1 s before), as the repeats no longer wait for it. The body of an answer, which means nothing, is bounded by 4 KB instead of the limit of a list.

--- a/src/network/completion_notifier.cpp
+++ b/src/network/completion_notifier.cpp
@@ -1,6 +1,7 @@
 #include "network/completion_notifier.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "common/log.h"
@@ -10,9 +11,15 @@
 
 namespace {
 
-constexpr Micros kResponseTimeout = 500'000;  // the server acknowledges without delay
+// How long a request waits for its response before it is repeated on another connection. Two repeats that
+// meet silence as well still leave a third one within the 300 ms in which a notice is due.
+constexpr Micros kFirstRepeatDelay = 75'000;
+constexpr Micros kMaxRepeatDelay = 600'000;
+// A connection may come up late, after a SYN was lost.
+constexpr Micros kResponseTimeout = 2'000'000;
 constexpr Micros kBackoff = 50'000;
 constexpr int kBadRequest = 400;
+constexpr std::size_t kMaxResponseBodyBytes = 4096;  // a response has no body that means anything
 
 bool isAnswered(const HttpResponse& response) {
   return response.completion == ExchangeStatus::answered;
@@ -24,21 +31,38 @@
 
 }  // namespace
 
-CompletionNotifier::CompletionNotifier(DiscoveryClient client, OnAcknowledged on_acknowledged)
-    : client_(std::move(client)), on_acknowledged_(std::move(on_acknowledged)) {}
+CompletionNotifier::CompletionNotifier(boost::asio::io_context& io, tcp::endpoint server, std::string host,
+                                       OnAcknowledged on_acknowledged)
+    : io_(io),
+      server_(std::move(server)),
+      host_(std::move(host)),
+      on_acknowledged_(std::move(on_acknowledged)),
+      repeat_timer_(io),
+      backoff_timer_(io),
+      repeat_delay_(kFirstRepeatDelay) {}
 
 void CompletionNotifier::enqueue(const std::string& message_id, const CompletionNotice& notice) {
   pending_.push_back({message_id, notice});
-  if (in_flight_ == 0 && !is_backing_off_) {
-    sendNextBatch();
+  if (requests_.empty() && !is_backing_off_) {
+    sendPending();
   }
 }
 
 void CompletionNotifier::changeServer(tcp::endpoint server, std::string host) {
-  client_.changeServer(std::move(server), std::move(host));
-  in_flight_ = 0;
+  endRequests();
+  idle_client_.reset();
+  backoff_timer_.cancel();
   is_backing_off_ = false;
-  sendNextBatch();
+  server_ = std::move(server);
+  host_ = std::move(host);
+  sendPending();
+}
+
+void CompletionNotifier::stop() {
+  is_stopped_ = true;
+  endRequests();
+  idle_client_.reset();
+  backoff_timer_.cancel();
 }
 
 // One line of the request body, in the format of the discovery server.
@@ -51,50 +75,114 @@
   return line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
-void CompletionNotifier::sendNextBatch() {
-  if (pending_.empty()) {
+std::unique_ptr<DiscoveryClient> CompletionNotifier::takeClient() {
+  if (idle_client_) {
+    return std::move(idle_client_);
+  }
+  return std::make_unique<DiscoveryClient>(io_, server_, host_, kMaxResponseBodyBytes);
+}
+
+// Sends the first pending notices in a request of their own, beside those that are in flight.
+void CompletionNotifier::sendPending() {
+  if (pending_.empty() || is_stopped_) {
     return;
   }
-  in_flight_ = std::min(pending_.size(), batch_limit_);
-  HttpRequest request;
-  request.method = "POST";
-  request.target = "/v1/notices";
-  request.fields.emplace_back("Content-Type", "application/json");
-  for (std::size_t i = 0; i < in_flight_; ++i) {
-    request.body += toLine(pending_[i]);
+  HttpRequest message;
+  message.method = "POST";
+  message.target = "/v1/notices";
+  message.fields.emplace_back("Content-Type", "application/json");
+  const std::size_t count = std::min(pending_.size(), batch_limit_);
+  for (std::size_t i = 0; i < count; ++i) {
+    message.body += toLine(pending_[i]);
+  }
+  const std::uint64_t id = ++last_request_id_;
+  const Request& request = requests_.emplace_back(Request{id, takeClient(), count});
+  request.client->send(std::move(message), {kResponseTimeout, kResponseTimeout},
+                       [this, id](const HttpResponse& response) { onResponse(id, response); });
+  scheduleRepeat();
+}
+
+void CompletionNotifier::scheduleRepeat() {
+  repeat_timer_.expires_after(std::chrono::microseconds(repeat_delay_));
+  repeat_timer_.async_wait([this, id = last_request_id_](const boost::system::error_code& cancelled) {
+    if (!cancelled && id == last_request_id_ && !requests_.empty()) {
+      repeatOnAnotherConnection();
+    }
+  });
+}
+
+void CompletionNotifier::repeatOnAnotherConnection() {
+  if (repeat_delay_ == kFirstRepeatDelay) {
+    logWarning("discovery", "notice_unanswered").field("waited_ms", repeat_delay_ / kMicrosPerMillisecond);
+  }
+  repeat_delay_ = std::min(2 * repeat_delay_, kMaxRepeatDelay);
+  if (requests_.size() == kMaxRequests) {
+    requests_.pop_front();
   }
-  client_.send(std::move(request), kResponseTimeout,
-               [this](const HttpResponse& response) { onResponse(response); });
+  sendPending();
 }
 
-void CompletionNotifier::onResponse(const HttpResponse& response) {
-  const std::size_t sent = std::exchange(in_flight_, 0);
+void CompletionNotifier::onResponse(std::uint64_t request_id, const HttpResponse& response) {
+  const auto request = std::find_if(requests_.begin(), requests_.end(),
+                                    [&](const Request& candidate) { return candidate.id == request_id; });
+  if (request == requests_.end()) {
+    return;
+  }
   const bool is_rejected = isAnswered(response) && response.status == kBadRequest;
-  if (is_rejected && sent > 1) {
-    batch_limit_ = 1;  // so that one unreadable notice does not block the others
-    sendNextBatch();
+  if (is_rejected && request->notice_count > 1) {
+    sendEachAlone();
     return;
   }
   if (!is_rejected && !isSuccess(response)) {
-    backOff();
+    onFailure(request);
     return;
   }
   if (is_rejected) {
     logError("discovery", "notice_rejected").field("message_id", pending_.front().message_id);
   }
-  acknowledge(sent);
+  onAnswer(request);
+}
+
+// So that one unreadable notice does not block the others.
+void CompletionNotifier::sendEachAlone() {
+  batch_limit_ = 1;
+  endRequests();
+  sendPending();
+}
+
+// Other requests may still be answered. Once none is left, tries again.
+void CompletionNotifier::onFailure(std::list<Request>::iterator request) {
+  requests_.erase(request);
+  if (!requests_.empty()) {
+    return;
+  }
+  endRequests();
+  is_backing_off_ = true;
+  backoff_timer_.expires_after(std::chrono::microseconds(kBackoff));
+  backoff_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) {
+      is_backing_off_ = false;
+      sendPending();
+    }
+  });
+}
+
+void CompletionNotifier::onAnswer(std::list<Request>::iterator request) {
+  const std::size_t count = request->notice_count;
+  idle_client_ = std::move(request->client);
+  endRequests();
+  acknowledge(count);
   if (pending_.empty()) {
     batch_limit_ = kMaxBatch;
   }
-  sendNextBatch();
+  sendPending();
 }
 
-void CompletionNotifier::backOff() {
-  is_backing_off_ = true;
-  client_.backOff(kBackoff, [this] {
-    is_backing_off_ = false;
-    sendNextBatch();
-  });
+// Cancels all requests, whose callbacks are not called any more.
+void CompletionNotifier::endRequests() {
+  requests_.clear();
+  repeat_timer_.cancel();
+  repeat_delay_ = kFirstRepeatDelay;
 }
 
 void CompletionNotifier::acknowledge(std::size_t count) {
--- a/src/network/descriptor_budget.cpp
+++ b/src/network/descriptor_budget.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 // Descriptors of one process other than its connections to clients and endpoints: standard streams, event
-// loop, signals, journal, lock, handover links, listeners, discovery connections, and control connections.
+// loop, signals, journal, lock, handover links, listeners, connections for the watch and for notices, and
+// control connections.
 constexpr std::int64_t kOwnDescriptors = 20 + kMaxControlConnections;
 // Descriptors of a successor that may be starting while this process serves. It has no clients, journal or
 // discovery connections yet.
--- a/src/network/discovery_client.cpp
+++ b/src/network/discovery_client.cpp
@@ -10,12 +10,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-constexpr Micros kConnectTimeout = 1'000'000;  // ample, as the server is on this machine
-
-}  // namespace
-
 DiscoveryClient::DiscoveryClient(asio::io_context& io, tcp::endpoint server, std::string host,
                                  std::size_t max_body_bytes)
     : io_(io),
@@ -24,32 +18,32 @@
       max_body_bytes_(max_body_bytes),
       backoff_timer_(io) {}
 
-void DiscoveryClient::send(HttpRequest request, Micros timeout, HttpConnection::OnResponse on_response) {
+void DiscoveryClient::send(HttpRequest request, Timeouts timeouts, HttpConnection::OnResponse on_response) {
   if (is_stopped_) {
     return;
   }
-  exchange(std::move(request), Deadline::after(monotonicNow(), timeout), std::move(on_response));
+  HttpConnection::Timing timing;
+  timing.connect_timeout = timeouts.connect;
+  timing.deadline = Deadline::after(monotonicNow(), timeouts.response);
+  timing.quiet_time = kMinQuietTime;
+  exchange(std::move(request), timing, std::move(on_response));
 }
 
 // Makes the request on the open connection, and on a new one if that turns out to be stale.
-void DiscoveryClient::exchange(HttpRequest request, Deadline deadline,
+void DiscoveryClient::exchange(HttpRequest request, const HttpConnection::Timing& timing,
                                HttpConnection::OnResponse on_response) {
   if (!connection_ || !connection_->isIdle()) {
     const HttpConnection::BodyLimits limits{max_body_bytes_, BodyUse::keep};
     connection_ = std::make_unique<HttpConnection>(io_, server_, host_, limits);
   }
-  HttpConnection::Timing timing;
-  timing.connect_timeout = kConnectTimeout;
-  timing.deadline = deadline;
-  timing.quiet_time = kMinQuietTime;
   HttpRequest sent_request = request;
-  auto on_end = [this, request = std::move(request), deadline,
+  auto on_end = [this, request = std::move(request), timing,
                  on_response = std::move(on_response)](const HttpResponse& response) {
     if (response.unsolicited_data_gap) {
       onUnsolicitedData(*response.unsolicited_data_gap);
     }
     if (response.stale_connection) {
-      exchange(request, deadline, on_response);
+      exchange(request, timing, on_response);
     } else {
       on_response(response);
     }
--- a/src/network/discovery_client.h
+++ b/src/network/discovery_client.h
@@ -22,8 +22,13 @@
   DiscoveryClient(boost::asio::io_context& io, tcp::endpoint server, std::string host,
                   std::size_t max_body_bytes);
 
-  // Calls `on_response` once from the event loop, at the latest after `timeout`.
-  void send(HttpRequest request, Micros timeout, HttpConnection::OnResponse on_response);
+  struct Timeouts {
+    Micros connect = 0;   // until a new connection is open
+    Micros response = 0;  // until the response is complete; includes connecting
+  };
+
+  // Calls `on_response` once from the event loop, at the latest after `timeouts.response`.
+  void send(HttpRequest request, Timeouts timeouts, HttpConnection::OnResponse on_response);
   // Closes the connection and calls `on_elapsed` after `delay`.
   void backOff(Micros delay, std::function<void()> on_elapsed);
   void changeServer(tcp::endpoint server, std::string host);
@@ -31,7 +36,8 @@
   void stop();
 
  private:
-  void exchange(HttpRequest request, Deadline deadline, HttpConnection::OnResponse on_response);
+  void exchange(HttpRequest request, const HttpConnection::Timing& timing,
+                HttpConnection::OnResponse on_response);
   void onUnsolicitedData(Micros gap);
 
   boost::asio::io_context& io_;
--- a/src/network/endpoint_watch.cpp
+++ b/src/network/endpoint_watch.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr Micros kConnectTimeout = 1'000'000;   // ample, as the server is on this machine
 constexpr Micros kLongPollHold = 20'000'000;    // how long discovery may hold a request open
 constexpr Micros kResponseTimeout = 1'500'000;  // additional time for the response itself
 // The maximum backoff, including jitter, is below 6 s: within this time the platform expects each sender to
@@ -60,7 +61,8 @@
                       "&hold_ms=" + std::to_string(kLongPollHold / kMicrosPerMillisecond);
   }
   const Micros timeout = (is_long_poll ? kLongPollHold : 0) + kResponseTimeout;
-  client_.send(std::move(request), timeout, [this](const HttpResponse& response) { onResponse(response); });
+  client_.send(std::move(request), {kConnectTimeout, timeout},
+               [this](const HttpResponse& response) { onResponse(response); });
 }
 
 void EndpointWatch::onResponse(const HttpResponse& response) {
--- a/src/process/active_role.cpp
+++ b/src/process/active_role.cpp
@@ -45,7 +45,7 @@
                        ClientAdmission& admission, const RecoveryOptions& recovery, Callbacks callbacks)
     : recovery_started_at_(monotonicNow()),
       journal_(configuration.state_folder, journalOptions(configuration)),
-      notifier_(createDiscoveryClient(io, configuration, admission),
+      notifier_(io, parseAddress(configuration.discovery), configuration.discovery,
                 [this](const std::string& message_id) { driver_.onNoticeAcknowledged(message_id); }),
       driver_(io, configuration.settings, configuration.seed, journal_, endpoints, notifier_,
               std::move(callbacks.cancel_in_other_process)),
--- a/tests/network/unsolicited_data_test.cpp
+++ b/tests/network/unsolicited_data_test.cpp
@@ -148,9 +148,10 @@
   DiscoveryClient client(io, parseAddress(listener.address()), "discovery", 65536);
   std::vector<int> statuses;
   int first_peer = -1;
-  client.send(request, kHour, [&](const HttpResponse& first) {
+  client.send(request, {kHour, kHour}, [&](const HttpResponse& first) {
     statuses.push_back(first.status);
-    client.send(request, kHour, [&](const HttpResponse& second) { statuses.push_back(second.status); });
+    client.send(request, {kHour, kHour},
+                [&](const HttpResponse& second) { statuses.push_back(second.status); });
     send_response(first_peer, acknowledged);
   });
   first_peer = receive_request();
--- a/tests/support/decision_driver_fixture.h
+++ b/tests/support/decision_driver_fixture.h
@@ -45,8 +45,7 @@
         connections_(computeDescriptorBudget({1024, 192'000'000, settings_.call_slots}, false)),
         endpoints_(io_, {1'000'000, 5'000'000}, connections_.endpoints,
                    [this](AttemptOutcome outcome) { driver_.onOutcome(std::move(outcome)); }),
-        notifier_(DiscoveryClient(io_, parseAddress(surroundings.discovery.address()),
-                                  surroundings.discovery.address(), 1'000'000),
+        notifier_(io_, parseAddress(surroundings.discovery.address()), surroundings.discovery.address(),
                   [this](const std::string& id) { driver_.onNoticeAcknowledged(id); }),
         driver_(io_, settings_, 1, journal_, endpoints_, notifier_, [](const CallId&) {}) {
     const json list{{"index", 1},
