Remember messages that have ended, so that a copy of one is not sent again

The answer to a copy agrees with the end: +OK, -ERR given up, or -BUSY. Open messages keep a place each; when all places are taken, such messages are answered -BUSY, so a flood pushes out no id whose time is not over. The format is unchanged: a compaction writes an acceptance without content and its completion, which earlier versions read as a message that is over.

--- a/src/process/active_role.cpp
+++ b/src/process/active_role.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// Messages that have ended are remembered in up to 1/32 of the memory and 1/4 of the disk budget.
+constexpr std::int64_t kCompletedMessagesMemoryDivisor = 32;
+constexpr std::int64_t kMemoryPerCompletedMessage = 208;  // bytes, with an id of 16 bytes
+constexpr std::uint64_t kCompletedMessagesDiskDivisor = 4;
+
 // Listens on the socket that the platform holds open and passes to the process, so that no connection is
 // refused during an upgrade. If no socket was passed or it can't be used, listens at the configured address.
 tcp::acceptor listenForClients(asio::io_context& io, const Configuration& configuration) {
@@ -31,11 +36,26 @@
                          admission.budget().max_endpoint_list_bytes);
 }
 
+// Idempotent messages may run again, so they need not be remembered.
+CompletedMessageLimits completedMessageLimits(const Configuration& configuration) {
+  CompletedMessageLimits limits;
+  for (const MessageClass& message_class : configuration.settings.classes) {
+    if (message_class.idempotency != Idempotency::idempotent) {
+      limits.class_deadlines[message_class.name] = message_class.deadline;
+    }
+  }
+  limits.max_count = static_cast<std::size_t>(configuration.memory_bytes / kMemoryPerCompletedMessage /
+                                              kCompletedMessagesMemoryDivisor);
+  limits.max_bytes = configuration.disk_bytes / kCompletedMessagesDiskDivisor;
+  return limits;
+}
+
 Journal::Options journalOptions(const Configuration& configuration) {
   Journal::Options options;
   options.disk_budget_bytes = configuration.disk_bytes;
   options.durable = configuration.durable;
   options.message_records.max_attempts = configuration.settings.max_attempts;
+  options.completed_messages = completedMessageLimits(configuration);
   return options;
 }
 
--- a/src/process/decision_driver.cpp
+++ b/src/process/decision_driver.cpp
@@ -264,6 +264,14 @@
 
 // The reply to a message that the decision module need not see; empty if it has to decide.
 std::optional<SubmitReply> DecisionDriver::replyWithoutDecision(const SubmittedMessage& message) const {
+  const auto submitted_before = pending_messages_.find(message.id);
+  if (submitted_before != pending_messages_.end()) {
+    const bool unanswered = static_cast<bool>(submitted_before->second.reply);
+    return SubmitReply{unanswered ? SubmitStatus::duplicate : SubmitStatus::accepted};
+  }
+  if (const std::optional<MessageEnd> end = journal_.endOf(message.id)) {
+    return replyAfter(*end);
+  }
   const bool known_class =
       std::any_of(settings_.classes.begin(), settings_.classes.end(),
                   [&](const MessageClass& candidate) { return candidate.name == message.message_class; });
@@ -276,12 +284,21 @@
   if (known_destinations_.count(message.destination) == 0) {
     return SubmitReply{SubmitStatus::unknown_destination};
   }
-  const auto submitted_before = pending_messages_.find(message.id);
-  if (submitted_before == pending_messages_.end()) {
-    return std::nullopt;
+  return std::nullopt;
+}
+
+// The reply to a copy of a message that has ended. It is not sent again, and agrees with what the platform
+// was told of its end.
+SubmitReply DecisionDriver::replyAfter(MessageEnd end) const {
+  switch (end) {
+    case MessageEnd::delivered:
+      return {SubmitStatus::accepted};
+    case MessageEnd::failed:
+      return {SubmitStatus::failed};
+    case MessageEnd::rejected:
+      break;
   }
-  const bool unanswered = static_cast<bool>(submitted_before->second.reply);
-  return SubmitReply{unanswered ? SubmitStatus::duplicate : SubmitStatus::accepted};
+  return {SubmitStatus::busy, settings_.max_retry_after};
 }
 
 void DecisionDriver::onOutcome(AttemptOutcome outcome) {
@@ -486,6 +503,7 @@
       send_reply({SubmitStatus::accepted});
       continue;
     }
+    journal_.recordNoticePending(id, {true, 0});  // it is remembered as rejected
     journal_.recordCompleted(id);
     pending_messages_.erase(id);
     addEvent(Abandoned{id});
--- a/src/process/decision_driver.h
+++ b/src/process/decision_driver.h
@@ -98,6 +98,7 @@
   bool hasIndependentRoutes(const std::string& destination_kind) const;
 
   std::optional<SubmitReply> replyWithoutDecision(const SubmittedMessage& message) const;
+  SubmitReply replyAfter(MessageEnd end) const;
   void recordOutcome(const AttemptOutcome& outcome);
 
   // Queues an event for the next round. The event is constructed in place because GCC 12 reports a moved
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -46,6 +46,21 @@
   return report;
 }
 
+// Earlier versions read these records as an ordinary message that was accepted and has ended.
+void appendCompletedMessage(RecordBuffer& records, const std::string& message_id,
+                            const CompletedMessage& completed) {
+  SubmittedMessage stub;
+  stub.id = message_id;
+  stub.message_class = completed.message_class;
+  stub.deadline = completed.deadline;
+  stub.time_to_live = completed.time_to_live;
+  records.append(AcceptedRecord{stub});
+  if (completed.end != MessageEnd::delivered) {
+    records.append(NoticePendingRecord{message_id, {completed.end == MessageEnd::rejected, 0}});
+  }
+  records.append(CompletedRecord{message_id});
+}
+
 void appendMessageRecords(RecordBuffer& records, const JournaledMessage& journaled) {
   const std::string& message_id = journaled.message.id;
   records.append(AcceptedRecord{journaled.message});
@@ -85,6 +100,7 @@
   }
   flush();
   file_.reset();
+  state_ = JournalState();  // another process reads the files; this one may go on for its calls in flight
 }
 
 // ---- Recovery
@@ -101,7 +117,7 @@
 
 void Journal::recover(const ClockReadings& now) {
   const FileContent content = readAll(files_, file_);
-  ReplayResult replay = replayJournal(content.data, now);
+  ReplayResult replay = replayJournal(content.data, now, options_.completed_messages);
   if (content.error != 0) {  // the rest of the file, which can't be read, counts as damaged
     rewrite_required_ = true;
     replay.state.assumeUnknownAttempts();
@@ -132,7 +148,7 @@
   clock_ = replay.clock;
   buffer_ = RecordBuffer(clock_, replay.next_sequence_number);
   header_ = {kJournalVersion, options_.durable, clock_.shift(), clock_.toStored(now.monotonic), now.boot};
-  live_bytes_ = liveBytes();
+  countOpenMessages();
   for (const auto& [key, health] : state_.healthRecords()) {
     health_bytes_ += healthRecordBytes(health);
   }
@@ -141,7 +157,7 @@
 // The damage is set aside only in space that the open messages do not need.
 void Journal::quarantineDamage(const std::string& data, const std::vector<ByteRange>& damaged_ranges) {
   const std::uint64_t free_bytes =
-      budget_.freeBesideCompaction(std::max(file_size_, live_bytes_), live_bytes_);
+      budget_.freeBesideCompaction(std::max(file_size_, liveBytes()), liveBytes());
   const std::uint64_t capacity = std::min(options_.disk_budget_bytes / kQuarantineShareDivisor, free_bytes);
   DamageQuarantine quarantine(files_, quarantine_path_, capacity);
   const DamageQuarantine::Result result = quarantine.store(data, damaged_ranges);
@@ -201,21 +217,53 @@
 
 // ---- Records
 
-bool Journal::reserve(const SubmittedMessage& message) {
+bool Journal::reserve(const SubmittedMessage& message, Micros now) {
+  if (!makeRoomToRemember(message, now)) {
+    return false;
+  }
   const std::uint64_t reserved_before = reserved_bytes_;
   reserved_bytes_ += maxBytesOf(message);
-  const std::uint64_t live = live_bytes_ + reserved_bytes_;
-  const std::uint64_t compacted = live + protectedOptionalBytes();
-  // A compacted file takes the live bytes, and the next compaction writes as many again beside it.
-  const bool fits_when_compacted = budget_.allowsCompaction(compacted, compacted);
+  // Messages that were remembered long enough give way.
+  while (!fitsIntoBudget() && state_.forgetOldestCompleted(now)) {
+  }
   const auto fits_now = [&] {
-    return budget_.allowsCompaction(file_size_ + buffer_.size() + reserved_bytes_, live);
+    return budget_.allowsCompaction(file_size_ + buffer_.size() + reserved_bytes_,
+                                    liveBytes() + reserved_bytes_);
   };
-  if (fits_when_compacted && (fits_now() || (compact() && fits_now()))) {
+  if (!fitsIntoBudget() || (!fits_now() && !(compact() && fits_now()))) {
+    reserved_bytes_ = reserved_before;
+    return false;
+  }
+  if (state_.completedMessages().remembers(message.message_class)) {
+    ++reserved_to_remember_;
+    reserved_bytes_to_remember_ += maxCompletedMessageBytes(message);
+  }
+  return true;
+}
+
+// Whether what is live and reserved fits. A compacted file takes the live bytes, and the next compaction
+// writes as many again beside it.
+bool Journal::fitsIntoBudget() const {
+  const std::uint64_t compacted = liveBytes() + reserved_bytes_ + protectedOptionalBytes();
+  return budget_.allowsCompaction(compacted, compacted);
+}
+
+// Each open message has its place among the completed ones, so that none is forgotten before its time.
+bool Journal::makeRoomToRemember(const SubmittedMessage& message, Micros now) {
+  const CompletedMessages& completed = state_.completedMessages();
+  if (!completed.remembers(message.message_class)) {
     return true;
   }
-  reserved_bytes_ = reserved_before;
-  return false;
+  const auto has_room = [&] {
+    return completed.hasRoomFor(message, open_to_remember_ + reserved_to_remember_,
+                                bytes_to_remember_ + reserved_bytes_to_remember_);
+  };
+  while (!has_room()) {
+    if (!state_.forgetOldestCompleted(now)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void Journal::reserveEndpointNames(std::size_t max_name_bytes) {
@@ -224,7 +272,7 @@
     return;
   }
   reserved = max_name_bytes;
-  live_bytes_ = liveBytes();
+  countOpenMessages();
 }
 
 bool Journal::append(const Record& record) {
@@ -239,7 +287,7 @@
   if (!append(AcceptedRecord{message})) {
     return;
   }
-  live_bytes_ += maxBytesOf(message);
+  countOpenMessage(message);
   sync_required_ = true;
 }
 
@@ -265,10 +313,24 @@
   if (journaled == nullptr) {
     return;
   }
-  live_bytes_ -= maxBytesOf(journaled->message);
+  const SubmittedMessage& message = journaled->message;
+  open_bytes_ -= maxBytesOf(message);
+  if (state_.completedMessages().remembers(message.message_class)) {
+    --open_to_remember_;
+    bytes_to_remember_ -= maxCompletedMessageBytes(message);
+  }
   append(CompletedRecord{message_id});
 }
 
+std::optional<MessageEnd> Journal::endOf(const std::string& message_id) const {
+  const JournaledMessage* journaled = state_.find(message_id);
+  if (journaled != nullptr && journaled->notice_pending) {
+    return delivery::endOf(*journaled);
+  }
+  const CompletedMessage* completed = state_.completedMessages().find(message_id);
+  return completed == nullptr ? std::nullopt : std::optional<MessageEnd>(completed->end);
+}
+
 // The list goes into the buffer in flush(), so that the buffer holds only the latest one.
 void Journal::recordEndpointList(const std::string& list) {
   state_.apply(EndpointListRecord{list});
@@ -284,7 +346,7 @@
   state_.apply(HealthStateRecord{health});
   const std::uint64_t size_after = file_size_ + buffer_.size() + healthRecordBytes(health);
   if (lacks_health_records_ || last_flush_failed_ ||
-      !budget_.allowsCompaction(size_after, live_bytes_ + reserved_bytes_)) {
+      !budget_.allowsCompaction(size_after, liveBytes() + reserved_bytes_)) {
     lacks_health_records_ = true;  // flush() writes all of them
     return;
   }
@@ -295,12 +357,26 @@
   return maxMessageBytes(message, options_.message_records);
 }
 
-std::uint64_t Journal::liveBytes() const {
-  std::uint64_t live = kMaxHeaderRecordBytes;
+void Journal::countOpenMessages() {
+  open_bytes_ = 0;
+  open_to_remember_ = 0;
+  bytes_to_remember_ = 0;
   for (const auto& [message_id, journaled] : state_.messages()) {
-    live += maxBytesOf(journaled.message);
+    countOpenMessage(journaled.message);
+  }
+}
+
+void Journal::countOpenMessage(const SubmittedMessage& message) {
+  open_bytes_ += maxBytesOf(message);
+  if (state_.completedMessages().remembers(message.message_class)) {
+    ++open_to_remember_;
+    bytes_to_remember_ += maxCompletedMessageBytes(message);
   }
-  return live;
+}
+
+// An upper bound of the file size after a compaction, without optional records.
+std::uint64_t Journal::liveBytes() const {
+  return kMaxHeaderRecordBytes + open_bytes_ + state_.completedMessages().bytes();
 }
 
 std::uint64_t Journal::optionalBytes() const {
@@ -316,7 +392,7 @@
 // Whether a compacted file with the optional records leaves enough space for the records of all open messages
 // and for the next compaction.
 bool Journal::optionalRecordsFit() const {
-  const std::uint64_t live = live_bytes_ + reserved_bytes_;
+  const std::uint64_t live = liveBytes() + reserved_bytes_;
   return budget_.allowsCompaction(live + optionalBytes() + kOptionalSlackBytes, live);
 }
 
@@ -324,6 +400,8 @@
 
 bool Journal::flush() {
   reserved_bytes_ = 0;
+  reserved_to_remember_ = 0;
+  reserved_bytes_to_remember_ = 0;
   flush_error_.reset();
   appendOptionalRecords();
   const bool flushed = writeBuffer();
@@ -336,7 +414,7 @@
     return true;
   }
   const std::uint64_t size_after = file_size_ + buffer_.size();
-  const bool must_compact = rewrite_required_ || !budget_.allowsCompaction(size_after, live_bytes_);
+  const bool must_compact = rewrite_required_ || !budget_.allowsCompaction(size_after, liveBytes());
   if ((must_compact || isWorthCompacting(size_after)) && compact()) {
     flush_error_.reset();
     return true;
@@ -356,7 +434,7 @@
     return;
   }
   const std::uint64_t size_after = file_size_ + buffer_.size() + optionalBytes();
-  if (!budget_.allowsCompaction(size_after + kOptionalSlackBytes, live_bytes_)) {
+  if (!budget_.allowsCompaction(size_after + kOptionalSlackBytes, liveBytes())) {
     compact();
     return;
   }
@@ -378,7 +456,7 @@
 
 // Whether more than half of the file, and more than kMinCompactionGainBytes, is no longer live.
 bool Journal::isWorthCompacting(std::uint64_t file_size) const {
-  const std::uint64_t compacted = live_bytes_ + (optionalRecordsFit() ? optionalBytes() : 0);
+  const std::uint64_t compacted = liveBytes() + (optionalRecordsFit() ? optionalBytes() : 0);
   return file_size > 2 * compacted && file_size - compacted > kMinCompactionGainBytes;
 }
 
@@ -458,6 +536,9 @@
   if (with_optional_records) {
     appendHealthRecords(records);
   }
+  for (const auto& [message_id, completed] : state_.completedMessages().messages()) {
+    appendCompletedMessage(records, message_id, completed);
+  }
   for (const JournaledMessage* journaled : state_.messagesInOrderOfAcceptance()) {
     appendMessageRecords(records, *journaled);
   }
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -33,6 +33,7 @@
     // flushed records survive the end of the process, but some may be lost if the machine fails.
     bool durable = false;
     MessageRecordLimits message_records = {};
+    CompletedMessageLimits completed_messages = {};
   };
   // What the journal held when it was opened.
   struct Recovered {
@@ -57,8 +58,9 @@
 
   // Reserves disk space for this message and all its later records, including the space that a compaction
   // needs. The reservation lasts until the next flush(): by then the message has to be recorded as accepted,
-  // or to have been rejected. Returns false if the disk budget does not suffice.
-  bool reserve(const SubmittedMessage& message);
+  // or to have been rejected. Returns false if the disk budget does not suffice, or if the message would have
+  // to be remembered beside too many others; `now` is on the monotonic clock.
+  bool reserve(const SubmittedMessage& message, Micros now = monotonicNow());
   // Reserves space for names of endpoints of up to this size in the attempts of all messages. A smaller value
   // than before has no effect.
   void reserveEndpointNames(std::size_t max_name_bytes);
@@ -81,6 +83,10 @@
   // Whether the file lacks the latest endpoint list or a health record for want of space.
   bool lacksOptionalRecords() const { return lacks_endpoint_list_ || lacks_health_records_; }
 
+  // How the message with this id ended; empty if it is not known or has not ended. Messages of the classes in
+  // Options::completed_messages are remembered after their completion, also by the next process.
+  std::optional<MessageEnd> endOf(const std::string& message_id) const;
+
   // Writes the buffered records. A durable journal syncs them if accepted messages or attempts are among
   // them. Returns false on failure: the actions that these records stand for must not take effect, and the
   // records stay buffered for the next flush().
@@ -106,7 +112,11 @@
 
   bool append(const Record& record);
   std::uint64_t maxBytesOf(const SubmittedMessage& message) const;
+  void countOpenMessages();
+  void countOpenMessage(const SubmittedMessage& message);
   std::uint64_t liveBytes() const;
+  bool makeRoomToRemember(const SubmittedMessage& message, Micros now);
+  bool fitsIntoBudget() const;
   std::uint64_t optionalBytes() const;
   std::uint64_t protectedOptionalBytes() const;
   bool optionalRecordsFit() const;
@@ -133,10 +143,14 @@
   DiskBudget budget_;  // what is left of options_.disk_budget_bytes beside the quarantine file
 
   FileDescriptor file_;
-  std::uint64_t file_size_ = 0;   // in bytes
-  std::uint64_t live_bytes_ = 0;  // upper bound of the file size after a compaction, without optional records
-  std::uint64_t health_bytes_ = 0;     // of the health records in state_
-  std::uint64_t reserved_bytes_ = 0;   // for messages that will be accepted or rejected by the next flush()
+  std::uint64_t file_size_ = 0;          // in bytes
+  std::uint64_t open_bytes_ = 0;         // upper bound of what the open messages take in the file
+  std::size_t open_to_remember_ = 0;     // open messages that will be remembered after their completion
+  std::uint64_t bytes_to_remember_ = 0;  // that these will take then
+  std::uint64_t health_bytes_ = 0;       // of the health records in state_
+  std::uint64_t reserved_bytes_ = 0;     // for messages that will be accepted or rejected by the next flush()
+  std::size_t reserved_to_remember_ = 0;  // how many of them will be remembered
+  std::uint64_t reserved_bytes_to_remember_ = 0;
   bool lacks_endpoint_list_ = false;   // the file and the buffer do not hold the latest one
   bool lacks_health_records_ = false;  // neither holds all of them
 
--- a/src/storage/journal_state.cpp
+++ b/src/storage/journal_state.cpp
@@ -12,6 +12,13 @@
 
 }  // namespace
 
+MessageEnd endOf(const JournaledMessage& journaled) {
+  if (!journaled.notice_pending) {
+    return MessageEnd::delivered;
+  }
+  return journaled.notice.returned ? MessageEnd::rejected : MessageEnd::failed;
+}
+
 bool operator<(const HealthKey& a, const HealthKey& b) {
   return std::tie(a.destination, a.endpoint) < std::tie(b.destination, b.endpoint);
 }
@@ -29,6 +36,7 @@
     return ApplyResult::contradictory;  // the attempts of the open message must not be lost
   }
   const std::string message_id = record.message.id;
+  completed_messages_.remove(message_id);  // an earlier version may have accepted an id twice
   JournaledMessage& journaled = messages_[message_id];
   journaled.message = std::move(record.message);
   journaled.acceptance_order = ++last_acceptance_order_;
@@ -64,8 +72,13 @@
 }
 
 JournalState::ApplyResult JournalState::applyRecord(CompletedRecord& record) {
-  const bool was_open = messages_.erase(record.message_id) > 0;
-  return was_open ? ApplyResult::applied : ApplyResult::contradictory;
+  const auto found = messages_.find(record.message_id);
+  if (found == messages_.end()) {
+    return ApplyResult::contradictory;
+  }
+  completed_messages_.add(found->second.message, endOf(found->second));
+  messages_.erase(found);
+  return ApplyResult::applied;
 }
 
 JournalState::ApplyResult JournalState::applyRecord(EndpointListRecord& record) {
@@ -103,6 +116,7 @@
 }
 
 void JournalState::limitDeadlines(Micros now) {
+  completed_messages_.limitDeadlines(now);
   for (auto& [message_id, journaled] : messages_) {
     SubmittedMessage& message = journaled.message;
     if (message.time_to_live > 0) {
--- a/src/storage/journal_state.h
+++ b/src/storage/journal_state.h
@@ -6,9 +6,11 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/events.h"
+#include "storage/completed_messages.h"
 #include "storage/record_codec.h"
 #include "storage/submitted_message.h"
 
@@ -23,6 +25,9 @@
   std::uint64_t acceptance_order = 0;  // ascending in the order in which the messages were accepted
 };
 
+// How a message ended whose notice is pending, or which is completed now.
+MessageEnd endOf(const JournaledMessage& journaled);
+
 struct HealthKey {
   std::int64_t destination = 0;
   std::string endpoint;  // empty for the destination itself
@@ -31,6 +36,9 @@
 
 class JournalState {
  public:
+  explicit JournalState(CompletedMessageLimits completed_limits = {})
+      : completed_messages_(std::move(completed_limits)) {}
+
   enum class ApplyResult {
     applied,
     contradictory,  // the record does not fit the earlier ones; the state is unchanged
@@ -54,6 +62,10 @@
   std::vector<const JournaledMessage*> messagesInOrderOfAcceptance() const;
   const JournaledMessage* find(const std::string& message_id) const;  // null if it is not open
 
+  const CompletedMessages& completedMessages() const { return completed_messages_; }
+  // See CompletedMessages::forgetOldest().
+  bool forgetOldestCompleted(Micros now) { return completed_messages_.forgetOldest(now); }
+
   // The latest endpoint list, in JSON; empty if there is none.
   const std::string& endpointList() const { return endpoint_list_; }
   // The latest health record of each destination or endpoint.
@@ -71,6 +83,7 @@
   JournaledMessage* findMutable(const std::string& message_id);
 
   std::map<std::string, JournaledMessage> messages_;
+  CompletedMessages completed_messages_;
   std::string endpoint_list_;
   std::map<HealthKey, HealthRecord> health_records_;
   std::uint64_t last_acceptance_order_ = 0;
--- a/src/storage/record_sizes.h
+++ b/src/storage/record_sizes.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "common/events.h"
+#include "storage/completed_messages.h"
 #include "storage/record_codec.h"
 #include "storage/record_frame.h"
 #include "storage/submitted_message.h"
@@ -39,6 +40,23 @@
   return kFrameOverheadBytes + encodedSize(message) + attempts * (attempt + never_ran) + notice + completed;
 }
 
+// The size of the records by which a compacted file remembers a message that has ended: its acceptance
+// without its content, its notice unless it was delivered, and its completion.
+inline std::uint64_t completedMessageBytes(const std::string& message_id, const std::string& message_class,
+                                           MessageEnd end) {
+  SubmittedMessage stub;
+  stub.id = message_id;
+  stub.message_class = message_class;
+  const std::uint64_t notice = framedSize(1, message_id.size(), sizeof(std::uint8_t) + sizeof(std::uint64_t));
+  return kFrameOverheadBytes + encodedSize(stub) + (end == MessageEnd::delivered ? 0 : notice) +
+         framedSize(1, message_id.size(), 0);
+}
+
+// The same for a message that is still open, however it may end.
+inline std::uint64_t maxCompletedMessageBytes(const SubmittedMessage& message) {
+  return completedMessageBytes(message.id, message.message_class, MessageEnd::failed);
+}
+
 inline std::uint64_t endpointListBytes(const std::string& list) {
   return list.empty() ? 0 : framedSize(1, list.size(), 0);
 }
--- a/src/storage/recovery.cpp
+++ b/src/storage/recovery.cpp
@@ -8,7 +8,10 @@
 
 class JournalReplayer {
  public:
-  JournalReplayer(const std::string& data, const ClockReadings& now) : now_(now) {
+  JournalReplayer(const std::string& data, const ClockReadings& now,
+                  const CompletedMessageLimits& completed_limits)
+      : now_(now) {
+    result_.state = JournalState(completed_limits);
     result_.scan = scanRecords(data);
   }
 
@@ -124,8 +127,9 @@
   return !scan.damaged_ranges.empty() || gaps > 0 || unreadable_records > 0 || contradictory_records > 0;
 }
 
-ReplayResult replayJournal(const std::string& data, const ClockReadings& now) {
-  return JournalReplayer(data, now).replay();
+ReplayResult replayJournal(const std::string& data, const ClockReadings& now,
+                           const CompletedMessageLimits& completed_limits) {
+  return JournalReplayer(data, now, completed_limits).replay();
 }
 
 }  // namespace delivery
--- a/src/storage/recovery.h
+++ b/src/storage/recovery.h
@@ -33,6 +33,7 @@
 
 // `data` is the content of a journal file, and `now` the clocks at the moment of recovery. The records of the
 // scan point into `data`, which has to outlive them.
-ReplayResult replayJournal(const std::string& data, const ClockReadings& now);
+ReplayResult replayJournal(const std::string& data, const ClockReadings& now,
+                           const CompletedMessageLimits& completed_limits = {});
 
 }  // namespace delivery
--- a/tests/support/decision_driver_fixture.h
+++ b/tests/support/decision_driver_fixture.h
@@ -38,8 +38,16 @@
  public:
   static constexpr std::uint64_t kDiskBytes = 3'000'000;
 
+  // Remembers the messages of the classes that are not idempotent.
+  static Journal::Options journalOptions() {
+    Journal::Options options;
+    options.disk_budget_bytes = kDiskBytes;
+    options.completed_messages = {{{"order", 28'000'000}, {"payment", 28'000'000}}, 1000, kDiskBytes / 4};
+    return options;
+  }
+
   explicit DriverProcess(DriverSurroundings& surroundings, json settings = loopback::testSettings(),
-                         Journal::Options options = {kDiskBytes, false, {}})
+                         const Journal::Options& options = journalOptions())
       : settings_(readSettings(settings)),
         journal_("d", options, readClocks(), surroundings.disk),
         connections_(computeDescriptorBudget({1024, 192'000'000, settings_.call_slots}, false)),
