Read a configuration that was replaced in an upgrade, whichever process got SIGHUP

Cause: a process reads the file at its start and on SIGHUP alone, and becomeActive() used the reading from before the wait.

Change: ConfigurationFileMonitor tells whether the file is another one. Nothing is added to the link, so that it holds with a predecessor of the version before.

--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -1,5 +1,7 @@
 #include "process/configuration.h"
 
+#include <sys/stat.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
@@ -20,6 +22,7 @@
 constexpr std::size_t kMaxSeedDigits = 16;
 constexpr int kHexadecimalBase = 16;
 constexpr std::size_t kMaxDescriptorDigits = 6;
+constexpr std::int64_t kNanosPerSecond = 1'000'000'000;
 
 std::string environmentVariable(const char* name, const std::string& default_value) {
   const char* value = std::getenv(name);
@@ -80,6 +83,19 @@
   return static_cast<std::int64_t>(std::min(std::max(value, 0.0), kMaxLimit));
 }
 
+bool ConfigurationFileMonitor::hasChanged() {
+  struct stat status {};
+  if (::stat(environmentVariable("GW_CONFIG", "").c_str(), &status) != 0) {
+    return false;
+  }
+  const std::int64_t modified_at = status.st_mtim.tv_sec * kNanosPerSecond + status.st_mtim.tv_nsec;
+  const Version version{status.st_dev, status.st_ino, status.st_size, modified_at};
+  const bool is_same = version_ && version_->device == version.device && version_->inode == version.inode &&
+                       version_->size == version.size && version_->modified_at == version.modified_at;
+  version_ = version;
+  return !is_same;
+}
+
 std::uint64_t ConfigurationFile::seed() const {
   if (isAbsent(content_, "seed")) {
     return 0;
--- a/src/process/configuration.h
+++ b/src/process/configuration.h
@@ -59,4 +59,21 @@
   json content_;
 };
 
+// Notices that the configuration file has been replaced or written.
+class ConfigurationFileMonitor {
+ public:
+  // Whether the file that $GW_CONFIG names is another one than at the previous call, or has been written
+  // since. True at the first call. False if there is no such file.
+  bool hasChanged();
+
+ private:
+  struct Version {
+    std::uint64_t device = 0;
+    std::uint64_t inode = 0;
+    std::int64_t size = 0;
+    std::int64_t modified_at = 0;  // in nanoseconds, Unix time
+  };
+  std::optional<Version> version_;
+};
+
 }  // namespace delivery
--- a/src/process/sender_process.cpp
+++ b/src/process/sender_process.cpp
@@ -31,15 +31,17 @@
 // again.
 constexpr Micros kSuccessorStartTimeout = 2'000'000;
 
+// How often a successor asks for a new configuration while its predecessor runs.
+constexpr Micros kReloadInterval = 200'000;
+
 constexpr std::int64_t kBytesPerMegabyte = 1'000'000;
 
 }  // namespace
 
-SenderProcess::SenderProcess(asio::io_context& io, Configuration configuration,
-                             std::function<void()> on_finished)
+SenderProcess::SenderProcess(asio::io_context& io, Configuration configuration, Callbacks callbacks)
     : io_(io),
       configuration_(std::move(configuration)),
-      on_finished_(std::move(on_finished)),
+      callbacks_(std::move(callbacks)),
       lock_(configuration_.state_folder),
       successor_role_({[this] { advance(); },
                        [this](AttemptOutcome outcome) { onPredecessorOutcome(std::move(outcome)); },
@@ -52,7 +54,8 @@
             onCallsWithdrawn(endpoint, destination);
           }),
       predecessor_role_(endpoints_, [this] { onSuccessorLost(); }),
-      poll_timer_(io) {
+      poll_timer_(io),
+      reload_timer_(io) {
   if (!configuration_.control.empty()) {
     control_.emplace(
         io, parseAddress(configuration_.control), connections_.control, [this](const std::string& line) {
@@ -83,7 +86,7 @@
   advanceOwnership();
   if (finished()) {
     finished_ = true;
-    on_finished_();
+    callbacks_.on_finished();
     return;
   }
   if (ownershipState() != OwnershipState::active || stop_requested_at_) {
@@ -185,6 +188,7 @@
 void SenderProcess::becomeActive() {
   predecessor_role_.endHandover();
   released_ = false;
+  callbacks_.on_reload_due();
   active_role_ = createActiveRole();
   for (AttemptOutcome& outcome : predecessor_role_.takeRecordedOutcomes()) {
     active_role_->onOutcome(std::move(outcome));
@@ -200,6 +204,21 @@
   }
   successor_role_.announceServing();
   logInfo("process", "ready");
+  reloadWhilePredecessorRuns();
+}
+
+// SIGHUP may go to the predecessor, which the platform started earlier, even after it has handed over.
+void SenderProcess::reloadWhilePredecessorRuns() {
+  if (!successor_role_.hasPredecessor()) {
+    return;
+  }
+  reload_timer_.expires_after(std::chrono::microseconds(kReloadInterval));
+  reload_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      callbacks_.on_reload_due();
+      reloadWhilePredecessorRuns();
+    }
+  });
 }
 
 std::unique_ptr<ActiveRole> SenderProcess::createActiveRole() {
@@ -260,6 +279,7 @@
 void SenderProcess::onSuccessorLost() {
   awaiting_ownership_since_ = monotonicNow();
   if (active_role_) {
+    callbacks_.on_reload_due();
     if (!drained_by_operator_ && !stop_requested_at_) {
       active_role_->stopDraining();
     }
@@ -278,6 +298,7 @@
 
 void SenderProcess::onPredecessorLost(const std::set<CallId>& lost_calls) {
   applyBudget(computeBudget(configuration_.sockets, configuration_.memory_bytes));
+  callbacks_.on_reload_due();
   if (!active_role_) {
     advance();  // the recovery will find the lost calls in the journal
     return;
--- a/src/process/sender_process.h
+++ b/src/process/sender_process.h
@@ -26,9 +26,18 @@
 
 class SenderProcess {
  public:
-  // Starts right away. `on_finished` is called once, when this process has nothing left to do. Throws
-  // InvalidInput, std::invalid_argument or std::runtime_error if the configuration can't be used.
-  SenderProcess(boost::asio::io_context& io, Configuration configuration, std::function<void()> on_finished);
+  struct Callbacks {
+    // Called once, when this process has nothing left to do.
+    std::function<void()> on_finished;
+    // Called when the configuration file may have been replaced without a signal to this process, because
+    // SIGHUP went to the other process of a handover. The receiver calls changeDiscovery() and
+    // changeLimits().
+    std::function<void()> on_reload_due;
+  };
+
+  // Starts right away. Throws InvalidInput, std::invalid_argument or std::runtime_error if the configuration
+  // can't be used.
+  SenderProcess(boost::asio::io_context& io, Configuration configuration, Callbacks callbacks);
   SenderProcess(const SenderProcess&) = delete;
   SenderProcess& operator=(const SenderProcess&) = delete;
 
@@ -57,6 +66,7 @@
   void tryConnectToPredecessor();
   void killHungOwner();
   void becomeActive();
+  void reloadWhilePredecessorRuns();
   std::set<CallId> unresolvedCalls() const;
   std::unique_ptr<ActiveRole> createActiveRole();
 
@@ -83,7 +93,7 @@
 
   boost::asio::io_context& io_;
   Configuration configuration_;
-  std::function<void()> on_finished_;
+  Callbacks callbacks_;
   OwnershipLock lock_;
   HandoverSuccessor successor_role_;  // this process as the successor of the process that it replaces
   ConnectionAdmission connections_;
@@ -91,6 +101,7 @@
   HandoverPredecessor predecessor_role_;  // this process as the predecessor of the one that replaces it
   std::optional<ControlServer> control_;
   boost::asio::steady_timer poll_timer_;
+  boost::asio::steady_timer reload_timer_;
   std::unique_ptr<ActiveRole> active_role_;                // not null while this process owns the journal
   std::vector<std::unique_ptr<ActiveRole>> former_roles_;  // kept until the event loop ends, see ActiveRole
 
--- a/src/programs/message_sender.cpp
+++ b/src/programs/message_sender.cpp
@@ -11,6 +11,7 @@
 
 using delivery::Configuration;
 using delivery::ConfigurationFile;
+using delivery::ConfigurationFileMonitor;
 using delivery::SenderProcess;
 
 namespace {
@@ -43,9 +44,19 @@
   });
 }
 
-void run(Configuration configuration) {
+void run() {
   boost::asio::io_context io(1);
-  SenderProcess process(io, std::move(configuration), [&io] { io.stop(); });
+  ConfigurationFileMonitor monitor;
+  monitor.hasChanged();  // before the file is read, so that a later change is noticed
+  SenderProcess* running = nullptr;
+  SenderProcess process(io, ConfigurationFile::load().configuration(),
+                        {[&io] { io.stop(); },
+                         [&] {
+                           if (running != nullptr && monitor.hasChanged()) {
+                             reloadConfiguration(*running);
+                           }
+                         }});
+  running = &process;
   boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
   stop_signals.async_wait([&process](const boost::system::error_code& error, int /*signal*/) {
     if (!error) {
@@ -61,7 +72,7 @@
 
 int main() {
   try {
-    run(ConfigurationFile::load().configuration());
+    run();
   } catch (const std::exception& error) {
     delivery::logError("process", "failed").field("reason", error.what());
     return kExitFailure;
