Keep endpoint lists as text and grow request buffers by small steps

Cause: the list was held as parsed JSON twice, at some 1.2 KB an entry, copied while it was read, and what was freed stayed with the process. The buffer of a request in pieces doubled, which the pool does not count.

Change: the configured list and the entries of EndpointList are text. After a recovery freed memory is returned. Buffers grow by 8 KB. Configuration::known_endpoints and EndpointList::toText() are strings now; their tests parse them and check the same.

--- a/src/network/client_server.cpp
+++ b/src/network/client_server.cpp
@@ -22,6 +22,7 @@
 // A peer that sends this many bytes after a malformed request is disconnected at once.
 constexpr std::size_t kMaxDiscardedBytes = 1u << 20;
 constexpr std::chrono::milliseconds kCapacityCheckInterval{20};
+constexpr std::size_t kInputGrowthBytes = 8192;  // of the buffer for a request that arrives in pieces
 // At most this many candidates in a row are examined to find one without unread input.
 constexpr int kMaxEvictionAttempts = 16;
 // When the server starts, connections may have waited in the accept queue for any length of time.
@@ -114,10 +115,21 @@
     if (input_.empty()) {
       request_sent_at_ = last_bytes_sent_at_;
     }
-    input_.append(server_.read_buffer_, count);
+    appendInput(count);
     parseInput();
   }
 
+  // Grows the buffer in small steps: std::string would double it, beyond what the buffer pool counts.
+  void appendInput(std::size_t count) {
+    if (input_.size() + count > input_.capacity()) {
+      std::string grown;
+      grown.reserve(input_.size() + std::max(count, kInputGrowthBytes));
+      grown.append(input_);
+      input_.swap(grown);
+    }
+    input_.append(server_.read_buffer_, count);
+  }
+
   // Counts input that arrived after a malformed request, or while closing.
   void discard(std::size_t count) {
     discarded_bytes_ += count;
--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -130,7 +130,7 @@
   configuration.memory_bytes = memoryBytes();
   configuration.durable = readBoolean(content_, "durable", false);
   if (!isAbsent(content_, "known")) {
-    configuration.known_endpoints = readObject(content_, "known");
+    configuration.known_endpoints = readObject(content_, "known").dump();
   }
   configuration.settings = readSettings(readObject(content_, "settings"));
   return configuration;
--- a/src/process/configuration.h
+++ b/src/process/configuration.h
@@ -30,8 +30,10 @@
   std::int64_t sockets = 0;       // `limits.sockets`: how many descriptors this process may have open
   std::int64_t memory_bytes = 0;  // `limits.memory_mb`
   bool durable = false;           // `durable`: accepted messages survive a power cut
-  json known_endpoints;  // `known`: the endpoint list to start with, in discovery's form; may be null
-  Settings settings;     // `settings`, see protocol/settings_reader.h
+  // `known`: the endpoint list to start with, in discovery's form as JSON text; empty if there is none.
+  // Parsed, it takes several times as much memory.
+  std::string known_endpoints;
+  Settings settings;  // `settings`, see protocol/settings_reader.h
 };
 
 // The content of the configuration file at the time of load(). The values that can be changed while the
--- a/src/process/decision_driver.cpp
+++ b/src/process/decision_driver.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "common/memory.h"
 #include "protocol/delivery_request.h"
 
 namespace delivery {
@@ -37,8 +38,8 @@
   return readNumber(list, "index", EndpointList::kNoIndex);
 }
 
-// The endpoint list from the journal; null if there is none or it can't be read.
-json parseJournaledList(const std::string& list) {
+// The endpoint list from the journal or the configuration; null if there is none or it can't be read.
+json parseStoredList(const std::string& list) {
   if (list.empty()) {
     return {};
   }
@@ -101,7 +102,7 @@
 
 // ---- Recovery
 
-void DecisionDriver::recover(const json& configured_endpoints, const std::set<CallId>& calls_in_flight,
+void DecisionDriver::recover(const std::string& configured_endpoints, const std::set<CallId>& calls_in_flight,
                              Micros started_at, bool after_handover) {
   const Journal::Recovered& recovered = journal_.recovered();
   recoverEndpointList(configured_endpoints, recovered.endpoint_list);
@@ -118,16 +119,21 @@
   logRecovery(recovered, pending_messages_.size(), notifier_.pendingCount(),
               (monotonicNow() - started_at) / 1000);
   journal_.discardRecovered();
+  returnFreeMemory();
 }
 
 // Uses the newer of the two lists, so that a drain that was announced before a restart stays in force.
-void DecisionDriver::recoverEndpointList(const json& configured_endpoints,
+void DecisionDriver::recoverEndpointList(const std::string& configured_list,
                                          const std::string& journaled_list) {
-  json list = configured_endpoints;
-  const json journaled = parseJournaledList(journaled_list);
-  if (journaled.is_object() &&
-      (!list.is_object() || endpointListIndexOf(journaled) >= endpointListIndexOf(list))) {
-    list = journaled;
+  json list = parseStoredList(journaled_list);
+  if (!configured_list.empty()) {
+    json configured = parseStoredList(configured_list);
+    const bool journaled_is_newer =
+        list.is_object() &&
+        (!configured.is_object() || endpointListIndexOf(list) >= endpointListIndexOf(configured));
+    if (!journaled_is_newer) {
+      list = std::move(configured);
+    }
   }
   if (!list.is_object() || list.empty()) {
     return;
@@ -191,7 +197,7 @@
 std::int64_t DecisionDriver::onEndpointList(const json& answer) {
   const EndpointListUpdate update = endpoint_list_.apply(answer);
   if (!update.endpoints.empty() || update.kind != EndpointUpdateKind::delta) {
-    journal_.recordEndpointList(endpoint_list_.toJson().dump());
+    journal_.recordEndpointList(endpoint_list_.toText());
     // Attempts are started in decision rounds only, so none starts before the module has seen the update.
     applyEndpointUpdate(update);
   }
--- a/src/process/decision_driver.h
+++ b/src/process/decision_driver.h
@@ -46,8 +46,9 @@
   // `started_at`: the time on the monotonic clock at which reading the journal began, for the log.
   // `after_handover`: the predecessor handed over in an orderly way, so the pauses (Retry-After) that its
   // endpoints asked for still apply. A restart ends them.
-  void recover(const json& configured_endpoints, const std::set<CallId>& calls_in_flight, Micros started_at,
-               bool after_handover);
+  // `configured_endpoints`: the endpoint list of the configuration as JSON text; empty if there is none.
+  void recover(const std::string& configured_endpoints, const std::set<CallId>& calls_in_flight,
+               Micros started_at, bool after_handover);
 
   // Runs a last round if events are queued, then flushes and closes the journal. Another driver decides from
   // then on, and this one ignores later events.
@@ -85,7 +86,7 @@
   // are no longer pending are not recorded and have no entry.
   using AttemptNumbers = std::map<const SendAttempt*, int>;
 
-  void recoverEndpointList(const json& configured_endpoints, const std::string& journaled_list);
+  void recoverEndpointList(const std::string& configured_list, const std::string& journaled_list);
   void recoverHealth(const std::vector<HealthRecord>& records, bool after_handover);
   void recoverMessage(const JournaledMessage& entry, const std::set<CallId>& calls_in_flight,
                       bool after_handover);
--- a/src/programs/message_sender.cpp
+++ b/src/programs/message_sender.cpp
@@ -9,7 +9,6 @@
 #include "process/configuration.h"
 #include "process/sender_process.h"
 
-using delivery::Configuration;
 using delivery::ConfigurationFile;
 using delivery::ConfigurationFileMonitor;
 using delivery::SenderProcess;
--- a/src/protocol/endpoint_list.cpp
+++ b/src/protocol/endpoint_list.cpp
@@ -52,19 +52,22 @@
     if (endpoint.state == EndpointState::removed) {
       entries_.erase(endpoint.id);
     } else {
-      entries_[endpoint.id] = listed_entries[i];
+      entries_[endpoint.id] = listed_entries[i].dump();
     }
   }
   index_ = index;
   return update;
 }
 
-json EndpointList::toJson() const {
-  json endpoints = json::array();
+std::string EndpointList::toText() const {
+  std::string text = R"({"endpoints":[)";
   for (const auto& [name, entry] : entries_) {
-    endpoints.push_back(entry);
+    if (text.back() == '}') {
+      text += ',';
+    }
+    text += entry;
   }
-  return {{"index", index_}, {"snapshot", true}, {"endpoints", std::move(endpoints)}};
+  return text + R"(],"index":)" + std::to_string(index_) + R"(,"snapshot":true})";
 }
 
 }  // namespace delivery
--- a/src/protocol/endpoint_list.h
+++ b/src/protocol/endpoint_list.h
@@ -33,8 +33,8 @@
   // is then unchanged.
   EndpointListUpdate apply(const json& response);
 
-  // Returns a snapshot that apply() accepts.
-  json toJson() const;
+  // Returns a snapshot in JSON that apply() accepts.
+  std::string toText() const;
 
   // The version of the list at the discovery service; kNoIndex if no list has been read yet.
   std::int64_t index() const { return index_; }
@@ -43,7 +43,8 @@
 
  private:
   std::int64_t index_ = kNoIndex;
-  std::map<std::string, json> entries_;  // by endpoint name
+  // The entries as JSON text, by endpoint name. A parsed entry takes several times as much memory.
+  std::map<std::string, std::string> entries_;
 };
 
 }  // namespace delivery
--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -84,8 +84,8 @@
       path_(folder + "/journal"),
       compaction_path_(folder + "/journal.new"),
       quarantine_path_(folder + "/journal.damaged"),
-      options_(options),
-      budget_(options.disk_budget_bytes),
+      options_(std::move(options)),
+      budget_(options_.disk_budget_bytes),
       file_(openOrThrow()) {
   recover(now);
 }
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -73,7 +73,7 @@
   EXPECT_EQ(1024, configuration.sockets);
   EXPECT_EQ(64'000'000, configuration.memory_bytes);
   EXPECT_FALSE(configuration.durable);
-  EXPECT_TRUE(configuration.known_endpoints.is_null());
+  EXPECT_EQ("", configuration.known_endpoints);
   EXPECT_EQ(3U, configuration.settings.classes.size());
 }
 
@@ -100,7 +100,7 @@
   EXPECT_EQ(200, configuration.sockets);
   EXPECT_EQ(1'500'000, configuration.memory_bytes);
   EXPECT_TRUE(configuration.durable);
-  EXPECT_EQ(1, configuration.known_endpoints.at("index"));
+  EXPECT_EQ(1, json::parse(configuration.known_endpoints).at("index"));
   ::setenv("GW_LISTEN", "d:4", 1);
   ::setenv("GW_CONTROL", "f:6", 1);
   configuration = ConfigurationFile::load().configuration();
--- a/tests/protocol/endpoint_list_test.cpp
+++ b/tests/protocol/endpoint_list_test.cpp
@@ -57,16 +57,16 @@
   entry_with_unknown_field["since_ms"] = 12;
   list.apply(makeResponse(9, true, json::array({entry_with_unknown_field})));
   EndpointList restored;
-  restored.apply(list.toJson());
+  restored.apply(json::parse(list.toText()));
   EXPECT_EQ(9, restored.index());
-  EXPECT_EQ(list.toJson(), restored.toJson());
-  EXPECT_EQ(12, restored.toJson()["endpoints"][0]["since_ms"]);
+  EXPECT_EQ(list.toText(), restored.toText());
+  EXPECT_EQ(12, json::parse(restored.toText())["endpoints"][0]["since_ms"]);
 }
 
 TEST(EndpointList, UnreadableResponseLeavesTheListUnchanged) {
   EndpointList list;
   list.apply(makeResponse(3, true, json::array({makeEntry("a")})));
-  const json before = list.toJson();
+  const std::string before = list.toText();
   json entry_without_group = makeEntry("b");
   entry_without_group.erase("group");
   for (const json& unreadable : {json(7), json::object(), json{{"index", 4}, {"endpoints", 5}},
@@ -74,7 +74,7 @@
                                  makeResponse(4, true, {makeEntry("b"), makeEntry("c", "Sleeping")}),
                                  makeResponse(4, true, {makeEntry("c"), entry_without_group})}) {
     EXPECT_THROW(list.apply(unreadable), InvalidInput) << unreadable;
-    EXPECT_EQ(before, list.toJson()) << unreadable;
+    EXPECT_EQ(before, list.toText()) << unreadable;
   }
 }
 
--- a/tests/storage/journal_space_test.cpp
+++ b/tests/storage/journal_space_test.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kLargeListBytes = 500'000;
 
 std::string endpointListOf(std::size_t bytes, int index) {
-  std::string list = "{\"index\":" + std::to_string(index) + ",\"names\":\"";
+  std::string list = R"({"index":)" + std::to_string(index) + R"(,"names":")";
   list.append(bytes - list.size() - 2, 'n');
   return list + "\"}";
 }
--- a/tests/support/decision_driver_fixture.h
+++ b/tests/support/decision_driver_fixture.h
@@ -46,7 +46,7 @@
     return options;
   }
 
-  explicit DriverProcess(DriverSurroundings& surroundings, json settings = loopback::testSettings(),
+  explicit DriverProcess(DriverSurroundings& surroundings, const json& settings = loopback::testSettings(),
                          const Journal::Options& options = journalOptions())
       : settings_(readSettings(settings)),
         journal_("d", options, readClocks(), surroundings.disk),
@@ -59,7 +59,7 @@
     const json list{{"index", 1},
                     {"snapshot", true},
                     {"endpoints", {loopback::endpointEntry("e1", surroundings.endpoint.address(), 7)}}};
-    driver_.recover(list, {}, monotonicNow(), false);
+    driver_.recover(list.dump(), {}, monotonicNow(), false);
   }
 
   // Runs the event loop until the condition is true. Returns false if it is not within the limit.
