--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -221,30 +221,26 @@
   if (!makeRoomToRemember(message, now)) {
     return false;
   }
-  const std::uint64_t reserved_before = reserved_bytes_;
-  reserved_bytes_ += maxBytesOf(message);
+  const MessageSpace reserved_before = reserved_;
+  reserved_ += spaceOf(message);
   // Messages that were remembered long enough give way.
   while (!fitsIntoBudget() && state_.forgetOldestCompleted(now)) {
   }
   const auto fits_now = [&] {
-    return budget_.allowsCompaction(file_size_ + buffer_.size() + reserved_bytes_,
-                                    liveBytes() + reserved_bytes_);
+    const std::uint64_t size_after = file_size_ + buffer_.size() + reserved_.bytes;
+    return budget_.allowsCompaction(size_after, liveBytes() + reserved_.bytes);
   };
   if (!fitsIntoBudget() || (!fits_now() && !(compact() && fits_now()))) {
-    reserved_bytes_ = reserved_before;
+    reserved_ = reserved_before;
     return false;
   }
-  if (state_.completedMessages().remembers(message.message_class)) {
-    ++reserved_to_remember_;
-    reserved_bytes_to_remember_ += maxCompletedMessageBytes(message);
-  }
   return true;
 }
 
 // Whether what is live and reserved fits. A compacted file takes the live bytes, and the next compaction
 // writes as many again beside it.
 bool Journal::fitsIntoBudget() const {
-  const std::uint64_t compacted = liveBytes() + reserved_bytes_ + protectedOptionalBytes();
+  const std::uint64_t compacted = liveBytes() + reserved_.bytes + protectedOptionalBytes();
   return budget_.allowsCompaction(compacted, compacted);
 }
 
@@ -254,9 +250,10 @@
   if (!completed.remembers(message.message_class)) {
     return true;
   }
+  MessageSpace accepted = open_;
+  accepted += reserved_;
   const auto has_room = [&] {
-    return completed.hasRoomFor(message, open_to_remember_ + reserved_to_remember_,
-                                bytes_to_remember_ + reserved_bytes_to_remember_);
+    return completed.hasRoomFor(message, accepted.to_remember, accepted.bytes_to_remember);
   };
   while (!has_room()) {
     if (!state_.forgetOldestCompleted(now)) {
@@ -287,7 +284,7 @@
   if (!append(AcceptedRecord{message})) {
     return;
   }
-  countOpenMessage(message);
+  open_ += spaceOf(message);
   sync_required_ = true;
 }
 
@@ -313,12 +310,7 @@
   if (journaled == nullptr) {
     return;
   }
-  const SubmittedMessage& message = journaled->message;
-  open_bytes_ -= maxBytesOf(message);
-  if (state_.completedMessages().remembers(message.message_class)) {
-    --open_to_remember_;
-    bytes_to_remember_ -= maxCompletedMessageBytes(message);
-  }
+  open_ -= spaceOf(journaled->message);
   append(CompletedRecord{message_id});
 }
 
@@ -346,37 +338,28 @@
   state_.apply(HealthStateRecord{health});
   const std::uint64_t size_after = file_size_ + buffer_.size() + healthRecordBytes(health);
   if (lacks_health_records_ || last_flush_failed_ ||
-      !budget_.allowsCompaction(size_after, liveBytes() + reserved_bytes_)) {
+      !budget_.allowsCompaction(size_after, liveBytes() + reserved_.bytes)) {
     lacks_health_records_ = true;  // flush() writes all of them
     return;
   }
   buffer_.append(HealthStateRecord{health});
 }
 
-std::uint64_t Journal::maxBytesOf(const SubmittedMessage& message) const {
-  return maxMessageBytes(message, options_.message_records);
+MessageSpace Journal::spaceOf(const SubmittedMessage& message) const {
+  const bool is_remembered = state_.completedMessages().remembers(message.message_class);
+  return MessageSpace::of(message, options_.message_records, is_remembered);
 }
 
 void Journal::countOpenMessages() {
-  open_bytes_ = 0;
-  open_to_remember_ = 0;
-  bytes_to_remember_ = 0;
+  open_ = {};
   for (const auto& [message_id, journaled] : state_.messages()) {
-    countOpenMessage(journaled.message);
-  }
-}
-
-void Journal::countOpenMessage(const SubmittedMessage& message) {
-  open_bytes_ += maxBytesOf(message);
-  if (state_.completedMessages().remembers(message.message_class)) {
-    ++open_to_remember_;
-    bytes_to_remember_ += maxCompletedMessageBytes(message);
+    open_ += spaceOf(journaled.message);
   }
 }
 
 // An upper bound of the file size after a compaction, without optional records.
 std::uint64_t Journal::liveBytes() const {
-  return kMaxHeaderRecordBytes + open_bytes_ + state_.completedMessages().bytes();
+  return kMaxHeaderRecordBytes + open_.bytes + state_.completedMessages().bytes();
 }
 
 std::uint64_t Journal::optionalBytes() const {
@@ -392,16 +375,14 @@
 // Whether a compacted file with the optional records leaves enough space for the records of all open messages
 // and for the next compaction.
 bool Journal::optionalRecordsFit() const {
-  const std::uint64_t live = liveBytes() + reserved_bytes_;
+  const std::uint64_t live = liveBytes() + reserved_.bytes;
   return budget_.allowsCompaction(live + optionalBytes() + kOptionalSlackBytes, live);
 }
 
 // ---- Writing
 
 bool Journal::flush() {
-  reserved_bytes_ = 0;
-  reserved_to_remember_ = 0;
-  reserved_bytes_to_remember_ = 0;
+  reserved_ = {};
   flush_error_.reset();
   appendOptionalRecords();
   const bool flushed = writeBuffer();
--- a/src/storage/journal.h
+++ b/src/storage/journal.h
@@ -17,6 +17,7 @@
 #include "storage/file_system.h"
 #include "storage/journal_error.h"
 #include "storage/journal_state.h"
+#include "storage/message_space.h"
 #include "storage/record_buffer.h"
 #include "storage/record_sizes.h"
 #include "storage/recovery.h"
@@ -111,9 +112,8 @@
   void publishRecovered();
 
   bool append(const Record& record);
-  std::uint64_t maxBytesOf(const SubmittedMessage& message) const;
+  MessageSpace spaceOf(const SubmittedMessage& message) const;
   void countOpenMessages();
-  void countOpenMessage(const SubmittedMessage& message);
   std::uint64_t liveBytes() const;
   bool makeRoomToRemember(const SubmittedMessage& message, Micros now);
   bool fitsIntoBudget() const;
@@ -143,14 +143,10 @@
   DiskBudget budget_;  // what is left of options_.disk_budget_bytes beside the quarantine file
 
   FileDescriptor file_;
-  std::uint64_t file_size_ = 0;          // in bytes
-  std::uint64_t open_bytes_ = 0;         // upper bound of what the open messages take in the file
-  std::size_t open_to_remember_ = 0;     // open messages that will be remembered after their completion
-  std::uint64_t bytes_to_remember_ = 0;  // that these will take then
-  std::uint64_t health_bytes_ = 0;       // of the health records in state_
-  std::uint64_t reserved_bytes_ = 0;     // for messages that will be accepted or rejected by the next flush()
-  std::size_t reserved_to_remember_ = 0;  // how many of them will be remembered
-  std::uint64_t reserved_bytes_to_remember_ = 0;
+  std::uint64_t file_size_ = 0;        // in bytes
+  MessageSpace open_;                  // of the open messages
+  MessageSpace reserved_;              // of messages that will be accepted or rejected by the next flush()
+  std::uint64_t health_bytes_ = 0;     // of the health records in state_
   bool lacks_endpoint_list_ = false;   // the file and the buffer do not hold the latest one
   bool lacks_health_records_ = false;  // neither holds all of them
 
