Submit no request that was read from a client which has reset its connection

Cause: a closed client resets the connection when the next reply reaches it. Requests that had been read together with the first one were submitted from the buffer without a look at the socket, until a reply could not be written.

Change: before a request that was read earlier is submitted, the connection is asked whether it was reset.

--- a/src/network/client_server.cpp
+++ b/src/network/client_server.cpp
@@ -1,5 +1,7 @@
 #include "network/client_server.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -78,6 +80,10 @@
   // Processes the buffered request once the admission allows it. The bytes are parsed again, because no
   // parsed form is kept.
   void processQueuedRequest() {
+    if (isReset()) {
+      close();
+      return;
+    }
     const RespParseResult parsed = parseRespRequest(input_);
     if (const auto* request = std::get_if<RespRequest>(&parsed)) {
       processRequest(*request);
@@ -140,6 +146,22 @@
     }
   }
 
+  // A client that has left hears of no message that is accepted from now on.
+  void parseUnlessReset() {
+    if (isReset()) {
+      close();
+    } else {
+      parseInput();
+    }
+  }
+
+  // Whether the client reset the connection, as it does when a reply reaches it after it has closed. The
+  // input that was read before tells nothing of that.
+  bool isReset() {
+    pollfd status{socket_.native_handle(), 0, 0};
+    return ::poll(&status, 1, 0) == 1 && (status.revents & (POLLERR | POLLHUP)) != 0;
+  }
+
   void parseInput() {
     const RespParseResult parsed = parseRespRequest(input_);
     if (const auto* error = std::get_if<RespProtocolError>(&parsed)) {
@@ -230,7 +252,7 @@
       return;
     }
     if (!input_.empty()) {
-      parseInput();
+      parseUnlessReset();
     } else if (!server_.admission_.mayReadNextRequest(id_, monotonicNow())) {
       endReading();
     } else {
--- a/tests/network/client_server_test.cpp
+++ b/tests/network/client_server_test.cpp
@@ -32,6 +32,9 @@
         [this](SubmittedMessage message, const ClientServer::ReplyCallback& reply) {
           submitted = std::move(message);
           ++submitted_count;
+          if (before_reply) {
+            before_reply();
+          }
           reply({SubmitStatus::accepted});
         });
   }
@@ -54,6 +57,7 @@
   int port = 0;
   std::optional<SubmittedMessage> submitted;  // the latest one
   std::size_t submitted_count = 0;
+  std::function<void()> before_reply;  // called for each message that is submitted
   std::unique_ptr<ClientServer> server;
 };
 
@@ -197,6 +201,23 @@
   EXPECT_EQ(test.submitted_count, accepted);
 }
 
+// Guards against messages that are accepted from a client that has left (issue 47, picture (c)): it closed
+// its connection behind many requests, and those that were read with the first one were submitted all the
+// same.
+TEST(ClientServer, RequestsOfAClientThatHasLeftAreNotSubmitted) {
+  constexpr int kPipelinedRequests = 20;
+  TestServer test(10);
+  auto client = std::make_unique<loopback::SenderClient>(test.port);
+  std::string requests;
+  for (int i = 0; i < kPipelinedRequests; ++i) {
+    requests += kSubmitRequest;
+  }
+  client->send(requests);
+  test.before_reply = [&] { client.reset(); };
+  test.runUntil([&] { return test.submitted_count > 0 && test.server->connectionCount() == 0; });
+  EXPECT_EQ(1u, test.submitted_count);
+}
+
 // Guards against clients that wait behind peers which never read their replies (issue 47, pictures (a) and
 // (b)): a few hundred such peers kept all others waiting for a second, several times in a row.
 TEST(ClientServer, PeersThatNeverReadTheirRepliesDoNotKeepOthersWaiting) {
