--- a/src/storage/completed_messages.h
+++ b/src/storage/completed_messages.h
@@ -41,6 +41,12 @@
   using Map = std::map<std::string, CompletedMessage>;
 
   explicit CompletedMessages(CompletedMessageLimits limits = {}) : limits_(std::move(limits)) {}
+  // by_time_ refers to the elements of messages_, which a move keeps and a copy would not.
+  CompletedMessages(CompletedMessages&&) = default;
+  CompletedMessages& operator=(CompletedMessages&&) = default;
+  CompletedMessages(const CompletedMessages&) = delete;
+  CompletedMessages& operator=(const CompletedMessages&) = delete;
+  ~CompletedMessages() = default;
 
   bool remembers(const std::string& message_class) const {
     return limits_.class_deadlines.count(message_class) > 0;
